--- /dev/null
+++ b/apps/standin_host/main.cpp
@@ -0,0 +1,139 @@
+#include "packet_side.hpp"
+
+#include <guavaramp/net/http.hpp>
+
+#include <tclap/CmdLine.h>
+
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+namespace guavaramp {
+namespace {
+
+constexpr auto stop_poll_period = std::chrono::milliseconds{50};
+constexpr int bad_arguments_status = 2;
+
+volatile std::sig_atomic_t stop_signal = 0;
+
+void on_signal(int number) { stop_signal = number; }
+
+struct program_options {
+    endpoint packet_address;
+    endpoint request_address;
+    host_options host;
+    bool false_health{false};
+    double cold_start_s{0.0};
+};
+
+int report(const error& failure) {
+    std::cerr << "guavaramp-standin-host: " << failure.message << '\n';
+    return answer_for(failure.kind).exit_status;
+}
+
+int run(const program_options& options) {
+    std::signal(SIGTERM, on_signal);
+    std::signal(SIGINT, on_signal);
+    auto socket = udp_socket::bind(options.packet_address);
+    if (!socket) {
+        return report(socket.error());
+    }
+    packet_side packets{*std::move(socket), options.host};
+    http_router router;
+    packets.add_routes(router);
+    router.add("GET", "/healthz", [](const http_request&, const http_responder& respond) {
+        respond({.body = R"({"status":"ok"})"});
+    });
+    auto server = start_http_server({.local = options.request_address},
+                                    [&router](http_request request, const http_responder& respond) {
+                                        router.handle(std::move(request), respond);
+                                    });
+    if (!server) {
+        return report(server.error());
+    }
+    while (stop_signal == 0) {
+        std::this_thread::sleep_for(stop_poll_period);
+    }
+    server->reset();
+    return 0;
+}
+
+/// Accepts "NAME=ADDRESS:PORT" and "ADDRESS:PORT".
+result<endpoint> parse_service(const std::string& text) {
+    const auto separator = text.find('=');
+    return parse_endpoint(separator == std::string::npos ? text : text.substr(separator + 1));
+}
+
+result<program_options> parse_arguments(int argc, char** argv) {
+    TCLAP::CmdLine command{"guavaramp-standin-host: an upstream for tests and experiments", ' ',
+                           GUAVARAMP_VERSION};
+    TCLAP::ValueArg<std::string> address{"a", "address", "Address of the host", true, "", "address", command};
+    TCLAP::ValueArg<std::uint16_t> packet_port{"", "packet-port", "GUE port", false, 6080, "port", command};
+    TCLAP::ValueArg<std::uint16_t> request_port{"",   "request-port", "HTTP port", false,
+                                                8080, "port",         command};
+    TCLAP::ValueArg<std::string> name{"n", "name", "Name, prefixed to answers", true, "", "name", command};
+    TCLAP::MultiArg<std::string> services{
+        "", "service", "A service that this host accepts, NAME=ADDRESS:PORT", true, "service", command};
+    TCLAP::ValueArg<double> speed{"", "speed", "Work takes work-ms / speed", false, 1.0, "factor", command};
+    TCLAP::ValueArg<std::size_t> slots{"", "slots", "Pieces of work at once", false, 2, "count", command};
+    TCLAP::ValueArg<std::size_t> connections{
+        "", "max-connections", "Open connections at most", false, 2000, "count", command};
+    TCLAP::ValueArg<double> work_ms{"",   "work-ms", "Work of a data packet in ms at speed 1", false, 0.0,
+                                    "ms", command};
+    TCLAP::SwitchArg false_health{"", "false-health", "Report good health and no load always", command};
+    TCLAP::ValueArg<double> cold_start{
+        "", "cold-start-s", "Seconds of reduced speed after the start", false, 0.0, "s", command};
+    TCLAP::ValueArg<std::uint64_t> seed{"", "seed", "Seed of random choices", false, 1, "number", command};
+    command.setExceptionHandling(false);
+    command.parse(argc, argv);
+
+    const auto host_address = parse_ip_address(address.getValue());
+    if (!host_address) {
+        return fail(error_kind::invalid_argument, "--address: " + host_address.error().message);
+    }
+    if (!(speed.getValue() > 0.0) || work_ms.getValue() < 0.0 || slots.getValue() == 0) {
+        return fail(error_kind::invalid_argument,
+                    "--speed and --slots must be above 0, --work-ms must not be negative");
+    }
+    program_options options{.packet_address = {.address = *host_address, .port = packet_port.getValue()},
+                            .request_address = {.address = *host_address, .port = request_port.getValue()},
+                            .host = {.name = name.getValue(),
+                                     .speed = speed.getValue(),
+                                     .slots = slots.getValue(),
+                                     .work_ms = work_ms.getValue(),
+                                     .max_connections = connections.getValue(),
+                                     .seed = seed.getValue()},
+                            .false_health = false_health.getValue(),
+                            .cold_start_s = cold_start.getValue()};
+    for (const auto& text : services.getValue()) {
+        const auto service = parse_service(text);
+        if (!service) {
+            return fail(error_kind::invalid_argument, "--service " + text + ": " + service.error().message);
+        }
+        options.host.services.push_back(*service);
+    }
+    return options;
+}
+
+}  // namespace
+}  // namespace guavaramp
+
+int main(int argc, char** argv) {
+    try {
+        const auto options = guavaramp::parse_arguments(argc, argv);
+        if (!options) {
+            std::cerr << "guavaramp-standin-host: " << options.error().message << '\n';
+            return guavaramp::bad_arguments_status;
+        }
+        return guavaramp::run(*options);
+    } catch (const TCLAP::ExitException& exit) {
+        return exit.getExitStatus();
+    } catch (const TCLAP::ArgException& failure) {
+        std::cerr << "guavaramp-standin-host: " << failure.error() << " " << failure.argId() << '\n';
+        return guavaramp::bad_arguments_status;
+    } catch (const std::exception& failure) {
+        std::cerr << "guavaramp-standin-host: " << failure.what() << '\n';
+        return 70;
+    }
+}
