--- a/libs/traffic/include/guavaramp/traffic/caller_flow.hpp
+++ b/libs/traffic/include/guavaramp/traffic/caller_flow.hpp
@@ -64,8 +64,9 @@
 void begin_message(caller_flow& flow, mono_time now) noexcept;
 void begin_close(caller_flow& flow, mono_time now) noexcept;
 
-/// When the waiting segment is to be sent again. Precondition: `flow.waiting` and `flow.attempts` >= 1.
-[[nodiscard]] mono_time retransmission_time(const caller_flow& flow) noexcept;
+/// When to look at a segment again that is sent at `now` for the `flow.attempts + 1`th time: the next
+/// retransmission or the end of `answer_limit`. Counted from `now`, so that a late sender makes no burst.
+[[nodiscard]] mono_time next_retransmission(const caller_flow& flow, mono_time now) noexcept;
 
 /// Breaks a flow whose segment has waited for `answer_limit`. Returns whether it did.
 bool break_if_unanswered(caller_flow& flow, mono_time now) noexcept;
--- a/libs/traffic/src/caller_flow.cpp
+++ b/libs/traffic/src/caller_flow.cpp
@@ -7,6 +7,9 @@
 namespace guavaramp {
 namespace {
 
+// 300 ms doubled 5 times exceeds the limit of 5 s.
+constexpr int max_doublings = 5;
+
 answer_verdict break_flow(caller_flow& flow, break_cause cause) noexcept {
     flow.phase = flow_phase::broken;
     flow.cause = cause;
@@ -116,9 +119,9 @@
     begin_waiting(flow, now);
 }
 
-mono_time retransmission_time(const caller_flow& flow) noexcept {
-    const auto waits = (1U << flow.attempts) - 1U;
-    return flow.first_sent + first_retransmission * static_cast<int>(waits);
+mono_time next_retransmission(const caller_flow& flow, mono_time now) noexcept {
+    const auto wait = first_retransmission * (1 << std::min<int>(flow.attempts, max_doublings));
+    return std::min<mono_time>(now + wait, flow.first_sent + answer_limit);
 }
 
 bool break_if_unanswered(caller_flow& flow, mono_time now) noexcept {
