--- a/apps/load/main.cpp
+++ b/apps/load/main.cpp
@@ -1,5 +1,4 @@
-#include "flow_control.hpp"
-#include "flow_engine.hpp"
+#include "load_control.hpp"
 
 #include <guavaramp/net/http.hpp>
 
@@ -40,6 +39,18 @@
                              });
 }
 
+template <typename Engine>
+int serve_control(Engine& engine, const endpoint& local) {
+    http_router router;
+    add_control_routes(engine, router);
+    const auto server = serve(local, router);
+    if (!server) {
+        return report(server.error());
+    }
+    wait_for_signal();
+    return 0;
+}
+
 int run_flows(int argc, char** argv) {
     TCLAP::CmdLine command{"guavaramp-load flows: callers' flows and the fabric, driven over HTTP", ' ',
                            GUAVARAMP_VERSION};
@@ -68,14 +79,36 @@
             return report(added.error());
         }
     }
-    http_router router;
-    add_control_routes(engine, router);
-    const auto server = serve(*control_address, router);
-    if (!server) {
-        return report(server.error());
+    return serve_control(engine, *control_address);
+}
+
+int run_requests(int argc, char** argv) {
+    TCLAP::CmdLine command{"guavaramp-load requests: callers' HTTP requests, driven over HTTP", ' ',
+                           GUAVARAMP_VERSION};
+    TCLAP::ValueArg<std::string> control{
+        "", "control", "HTTP control address", false, "127.30.0.1:6091", "address:port", command};
+    TCLAP::ValueArg<std::string> entries{
+        "", "entries", "JSON file: entry VMs by failure domain", false, "", "file", command};
+    TCLAP::ValueArg<std::uint16_t> port{"",     "http-port", "HTTP port of entry VMs", false, 6083,
+                                        "port", command};
+    TCLAP::ValueArg<std::size_t> clients{"", "clients", "Client threads", false, 2, "count", command};
+    TCLAP::ValueArg<std::size_t> limit{
+        "", "max-in-progress", "Requests in progress at most", false, 8000, "count", command};
+    TCLAP::ValueArg<std::uint64_t> seed{"", "seed", "Seed of random choices", false, 1, "number", command};
+    command.setExceptionHandling(false);
+    command.parse(argc, argv);
+
+    const auto control_address = parse_endpoint(control.getValue());
+    if (!control_address) {
+        return report(control_address.error());
     }
-    wait_for_signal();
-    return 0;
+    request_engine engine{port.getValue(), seed.getValue(), clients.getValue(), limit.getValue()};
+    if (!entries.getValue().empty()) {
+        if (const auto added = add_entries_from_file(engine, entries.getValue()); !added) {
+            return report(added.error());
+        }
+    }
+    return serve_control(engine, *control_address);
 }
 
 int dispatch(int argc, char** argv) {
@@ -83,7 +116,10 @@
     if (subcommand == "flows") {
         return run_flows(argc - 1, argv + 1);
     }
-    std::cerr << "guavaramp-load: found '" << subcommand << "', allowed: flows\n";
+    if (subcommand == "requests") {
+        return run_requests(argc - 1, argv + 1);
+    }
+    std::cerr << "guavaramp-load: found '" << subcommand << "', allowed: flows, requests\n";
     return bad_arguments_status;
 }
 
