--- /dev/null
+++ b/apps/fuzz/target.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace guavaramp {
+
+/// A decoder at the border of a process. `run` gets hostile bytes; it must return, and sanitizers report
+/// misuse of memory. It aborts when an invariant of the decoder is broken.
+struct fuzz_target {
+    std::string name;
+    std::vector<std::string> seeds;  ///< valid inputs, from which mutations start
+    std::function<void(std::span<const std::byte>)> run;
+};
+
+/// All decoders of the project. Thread-safe.
+[[nodiscard]] std::vector<fuzz_target> all_fuzz_targets();
+
+}  // namespace guavaramp
