--- a/libs/config/include/guavaramp/config/model.hpp
+++ b/libs/config/include/guavaramp/config/model.hpp
@@ -55,6 +55,19 @@
     friend bool operator==(const service&, const service&) = default;
 };
 
+/// An accepted change as the head remembers it.
+struct accepted_change {
+    config_revision revision{0};
+    std::string change_id;
+    std::string summary;  ///< for example "drain upstream dispatch/h07"
+    wall_time accepted_at{};
+
+    friend bool operator==(const accepted_change&, const accepted_change&) = default;
+};
+
+/// Bounds the head: 32 entries of about 150 bytes add 5 KB to a value that every watch returns.
+inline constexpr std::size_t max_recent_changes = 32;
+
 /// The head value: names the current value of every service. Its swap is the moment a change is accepted.
 struct config_head {
     struct entry {
@@ -68,6 +81,9 @@
     std::uint32_t next_service_id{1};
     std::uint32_t next_upstream_id{1};
     std::map<std::string, entry> services;
+    /// The newest accepted changes, oldest first, at most `max_recent_changes`. A writer whose answer was
+    /// lost finds its change id here even after further changes of the same service.
+    std::vector<accepted_change> recent_changes;
 
     friend bool operator==(const config_head&, const config_head&) = default;
 };
--- a/libs/config/src/model.cpp
+++ b/libs/config/src/model.cpp
@@ -130,6 +130,13 @@
     return value;
 }
 
+accepted_change decode_accepted_change(const json& object) {
+    return {.revision = config_revision{required<std::uint64_t>(object, "revision")},
+            .change_id = required<std::string>(object, "change_id"),
+            .summary = required<std::string>(object, "summary"),
+            .accepted_at = from_unix_ms(required<std::int64_t>(object, "accepted_at_ms"))};
+}
+
 config_head decode_head(const json& object) {
     config_head value;
     value.revision = config_revision{required<std::uint64_t>(object, "revision")};
@@ -139,6 +146,11 @@
         value.services[name] = {.id = service_id{required<std::uint32_t>(item, "id")},
                                 .revision = config_revision{required<std::uint64_t>(item, "revision")}};
     }
+    if (object.contains("recent_changes")) {
+        for (const auto& item : required<std::vector<json>>(object, "recent_changes")) {
+            value.recent_changes.push_back(decode_accepted_change(item));
+        }
+    }
     return value;
 }
 
@@ -186,10 +198,18 @@
     for (const auto& [name, entry] : value.services) {
         services[name] = {{"id", number(entry.id)}, {"revision", number(entry.revision)}};
     }
+    json recent = json::array();
+    for (const auto& change : value.recent_changes) {
+        recent.push_back({{"revision", number(change.revision)},
+                          {"change_id", change.change_id},
+                          {"summary", change.summary},
+                          {"accepted_at_ms", to_unix_ms(change.accepted_at)}});
+    }
     return {{"revision", number(value.revision)},
             {"next_service_id", value.next_service_id},
             {"next_upstream_id", value.next_upstream_id},
-            {"services", std::move(services)}};
+            {"services", std::move(services)},
+            {"recent_changes", std::move(recent)}};
 }
 
 json to_json(const configuration& value) {
--- a/libs/config/tests/model_test.cpp
+++ b/libs/config/tests/model_test.cpp
@@ -23,6 +23,10 @@
     };
     add("dispatch", 1, "10.9.0.1:443");
     add("records", 2, "10.9.0.2:443");
+    value.head.recent_changes.push_back({.revision = config_revision{7},
+                                         .change_id = "c7",
+                                         .summary = "set class records bulk",
+                                         .accepted_at = from_unix_ms(4000)});
     return value;
 }
 
