--- a/libs/record/include/guavaramp/record/evaluate.hpp
+++ b/libs/record/include/guavaramp/record/evaluate.hpp
@@ -48,11 +48,12 @@
 
 /// What became of a change.
 struct change_outcome {
-    planned_change planned;              ///< set for a dry run
-    committed_change committed;          ///< set otherwise
-    bool waited{false};                  ///< whether the answer waited for the change to be in force
-    std::vector<std::string> confirmed;  ///< entry VMs that reported the revision, when waited
-    std::vector<std::string> missing;    ///< entry VMs that did not
+    planned_change planned;                ///< set for a dry run
+    committed_change committed;            ///< set otherwise
+    bool waited{false};                    ///< whether the answer waited for the change to be in force
+    std::vector<std::string> confirmed;    ///< entry VMs that reported the revision, when waited
+    std::vector<std::string> missing;      ///< live entry VMs that did not report it in time
+    std::vector<std::string> unreachable;  ///< entry VMs that cannot be reached
 };
 
 /// Changes since a time, and whether earlier ones within that time may have been forgotten.
--- a/libs/record/src/evaluate.cpp
+++ b/libs/record/src/evaluate.cpp
@@ -479,15 +479,22 @@
                                    number(outcome->committed.revision),
                         .columns = {"state", "revision", "change id"},
                         .not_reached = outcome->missing};
-    std::string state = "accepted";
-    if (outcome->waited && outcome->missing.empty()) {
-        state = "in force";
+    answer.not_reached.insert(answer.not_reached.end(), outcome->unreachable.begin(),
+                              outcome->unreachable.end());
+    const bool in_force = outcome->waited && outcome->missing.empty();
+    if (in_force) {
         answer.message += ", in force at all " + number(outcome->confirmed.size()) + " live entry VMs";
     } else if (outcome->waited) {
+        // The change is accepted and will come into force; only the wait has failed.
+        answer.failure = error_kind::deadline_exceeded;
         answer.message += ", in force at " + number(outcome->confirmed.size()) +
-                          " entry VMs, not reported by " + join(outcome->missing);
+                          " entry VMs, not reported in time by " + join(outcome->missing);
     }
-    answer.rows.push_back({state, number(outcome->committed.revision), outcome->committed.change_id});
+    if (!outcome->unreachable.empty()) {
+        answer.message += "; cannot be reached: " + join(outcome->unreachable);
+    }
+    answer.rows.push_back({in_force ? "in force" : "accepted", number(outcome->committed.revision),
+                           outcome->committed.change_id});
     return answer;
 }
 
--- /dev/null
+++ b/libs/telemetry/src/trace.cpp
@@ -0,0 +1,102 @@
+#include <guavaramp/base/hash.hpp>
+#include <guavaramp/telemetry/trace.hpp>
+
+#include <opentracing/mocktracer/json.h>
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <sstream>
+#include <utility>
+
+namespace guavaramp {
+namespace {
+
+constexpr std::size_t id_digits = 16;
+
+std::optional<std::uint64_t> parse_id(std::string_view text) {
+    std::uint64_t value = 0;
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), value, 16);
+    const bool whole = code == std::errc{} && end == text.data() + text.size();
+    return whole ? std::optional{value} : std::nullopt;
+}
+
+}  // namespace
+
+std::string to_string(const trace_context& context) {
+    std::array<char, 2 * id_digits + 2> text{};
+    std::snprintf(text.data(), text.size(), "%016llx-%016llx",
+                  static_cast<unsigned long long>(context.trace_id),
+                  static_cast<unsigned long long>(context.span_id));
+    return text.data();
+}
+
+std::optional<trace_context> parse_trace_context(std::string_view text) {
+    if (text.size() != 2 * id_digits + 1 || text[id_digits] != '-') {
+        return std::nullopt;
+    }
+    const auto trace_id = parse_id(text.substr(0, id_digits));
+    const auto span_id = parse_id(text.substr(id_digits + 1));
+    if (!trace_id || !span_id) {
+        return std::nullopt;
+    }
+    return trace_context{.trace_id = *trace_id, .span_id = *span_id};
+}
+
+trace_span::trace_span(tracer& owner, std::string operation, std::optional<trace_context> parent)
+    : owner_(owner),
+      operation_(std::move(operation)),
+      parent_(parent),
+      started_at_(std::chrono::system_clock::now()),
+      started_(std::chrono::steady_clock::now()) {
+    context_.span_id = owner.next_id();
+    context_.trace_id = parent ? parent->trace_id : context_.span_id;
+}
+
+trace_span::~trace_span() {
+    owner_.record({.operation = std::move(operation_),
+                   .context = context_,
+                   .parent = parent_,
+                   .started_at = started_at_,
+                   .duration = std::chrono::steady_clock::now() - started_,
+                   .tags = std::move(tags_)});
+}
+
+std::uint64_t tracer::next_id() noexcept { return mix_hashes(seed_, ++ids_); }
+
+void tracer::record(finished_span span) {
+    const std::lock_guard lock{mutex_};
+    spans_.push_back(std::move(span));
+    if (spans_.size() > max_spans_) {
+        spans_.pop_front();
+    }
+}
+
+std::string tracer::to_json() const {
+    std::vector<opentracing::mocktracer::SpanData> spans;
+    {
+        const std::lock_guard lock{mutex_};
+        for (const auto& span : spans_) {
+            opentracing::mocktracer::SpanData out;
+            out.span_context = {
+                .trace_id = span.context.trace_id, .span_id = span.context.span_id, .baggage = {}};
+            if (span.parent) {
+                out.references.push_back({.reference_type = opentracing::SpanReferenceType::ChildOfRef,
+                                          .trace_id = span.parent->trace_id,
+                                          .span_id = span.parent->span_id});
+            }
+            out.operation_name = span.operation;
+            out.start_timestamp = span.started_at;
+            out.duration = span.duration;
+            for (const auto& [name, value] : span.tags) {
+                out.tags.emplace(name, opentracing::Value{value});
+            }
+            spans.push_back(std::move(out));
+        }
+    }
+    std::ostringstream text;
+    opentracing::mocktracer::ToJson(text, spans);
+    return text.str();
+}
+
+}  // namespace guavaramp
