--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -1,4 +1,5 @@
 #include "entry_context.hpp"
+#include "packet_thread.hpp"
 
 #include <guavaramp/telemetry/log.hpp>
 
@@ -107,10 +108,18 @@
         stop_log();
         return answer_for(server.error().kind).exit_status;
     }
+    auto packets = packet_thread::start(context, {});
+    if (!packets) {
+        log_event(log_level::error, "start_failed", {{"message", packets.error().message}});
+        server->reset();
+        stop_log();
+        return answer_for(packets.error().kind).exit_status;
+    }
     log_event(log_level::info, "started", {{"address", to_string(context.settings.address)}});
     wait_for_stop(context);
     context.stopped = true;
     server->reset();
+    packets->reset();
     stop_log();
     return 0;
 }
