--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -1,4 +1,7 @@
+#include "control_thread.hpp"
 #include "entry_context.hpp"
+#include "packet_thread.hpp"
+#include "query_service.hpp"
 
 #include <guavaramp/telemetry/log.hpp>
 
@@ -95,6 +98,26 @@
     std::signal(SIGTERM, on_signal);
     std::signal(SIGINT, on_signal);
     add_admin_routes(context);
+    control_thread control{context};
+    std::unique_ptr<packet_thread> packets;
+    query_service queries{
+        context,
+        {.store = &control.store(),
+         .flows = {.find_flow = [&packets](const flow_key& flow) { return packets->find_flow(flow); }},
+         .refresh_now = [&control] { control.refresh_now(); }}};
+    const auto fail_start = [](const error& failure) {
+        log_event(log_level::error, "start_failed", {{"message", failure.message}});
+        stop_log();
+        return answer_for(failure.kind).exit_status;
+    };
+    auto started_packets = packet_thread::start(
+        context, {.on_flow_ended = [&queries](const flow_record& record) { queries.record_ended(record); },
+                  .on_newer_config = [&control](const ip_address&) { control.refresh_now(); }});
+    if (!started_packets) {
+        return fail_start(started_packets.error());
+    }
+    packets = *std::move(started_packets);
+    // The server starts last: routes are added before it, and its handlers use all duties.
     auto server = start_http_server(
         {.local = {.address = context.settings.address, .port = context.settings.ports.http},
          .certificate_file = context.settings.certificate_file,
@@ -103,14 +126,13 @@
             context.router.handle(std::move(request), respond);
         });
     if (!server) {
-        log_event(log_level::error, "start_failed", {{"message", server.error().message}});
-        stop_log();
-        return answer_for(server.error().kind).exit_status;
+        return fail_start(server.error());
     }
     log_event(log_level::info, "started", {{"address", to_string(context.settings.address)}});
     wait_for_stop(context);
     context.stopped = true;
     server->reset();
+    packets.reset();
     stop_log();
     return 0;
 }
