--- a/apps/load/flow_engine.cpp
+++ b/apps/load/flow_engine.cpp
@@ -174,6 +174,7 @@
     slot.flow.key = {.caller = caller_of(number), .service = groups_[group].options.service};
     slot.flow.number = number;
     slot.flow.payload_size = groups_[group].options.payload_bytes;
+    slot.flow.answer_limit = groups_[group].options.answer_limit;
     slot.flow.next_send = static_cast<std::uint32_t>(random_());
     begin_open(slot.flow, now);
     groups_[group].members.push_back(number);
--- a/apps/load/flow_engine.hpp
+++ b/apps/load/flow_engine.hpp
@@ -30,6 +30,7 @@
     double message_interval_ms{};  ///< 0: the flow is silent after it opened
     double lifetime_ms{};          ///< 0: the flow stays open
     std::uint16_t payload_bytes{64};
+    std::chrono::milliseconds answer_limit{default_answer_limit};
 };
 
 /// Plays callers and the packet-spraying fabric on one UDP socket with a thread of its own. Thread-safe.
--- a/apps/load/load_control.cpp
+++ b/apps/load/load_control.cpp
@@ -34,6 +34,8 @@
     options.message_interval_ms = body.value("message_interval_ms", options.message_interval_ms);
     options.lifetime_ms = body.value("lifetime_ms", options.lifetime_ms);
     options.payload_bytes = body.value("payload_bytes", options.payload_bytes);
+    options.answer_limit =
+        std::chrono::milliseconds{body.value("answer_limit_ms", options.answer_limit.count())};
     return options;
 }
 
--- a/libs/traffic/include/guavaramp/traffic/caller_flow.hpp
+++ b/libs/traffic/include/guavaramp/traffic/caller_flow.hpp
@@ -26,8 +26,8 @@
 
 /// First retransmission after this time, then after twice the previous wait.
 inline constexpr auto first_retransmission = std::chrono::milliseconds{300};
-/// A segment without an answer for this long breaks the flow.
-inline constexpr auto answer_limit = std::chrono::seconds{5};
+/// A segment without an answer for this long breaks the flow, unless the flow's options say otherwise.
+inline constexpr auto default_answer_limit = std::chrono::milliseconds{5000};
 
 /// One caller's flow: at most one segment waits for an answer at a time.
 struct caller_flow {
@@ -40,6 +40,7 @@
     std::uint32_t initial_receive{0};  ///< the host's first sequence number
     std::uint32_t message{0};          ///< number of the last data segment
     std::uint16_t payload_size{64};
+    std::chrono::milliseconds answer_limit{default_answer_limit};
     bool waiting{false};  ///< a segment waits for its answer
     std::uint8_t attempts{0};
     std::string host;  ///< learned from the first answer
@@ -65,10 +66,10 @@
 void begin_close(caller_flow& flow, mono_time now) noexcept;
 
 /// When to look at a segment again that is sent at `now` for the `flow.attempts + 1`th time: the next
-/// retransmission or the end of `answer_limit`. Counted from `now`, so that a late sender makes no burst.
+/// retransmission or the end of `flow.answer_limit`. Counted from `now`, so that a late sender makes no burst.
 [[nodiscard]] mono_time next_retransmission(const caller_flow& flow, mono_time now) noexcept;
 
-/// Breaks a flow whose segment has waited for `answer_limit`. Returns whether it did.
+/// Breaks a flow whose segment has waited for `flow.answer_limit`. Returns whether it did.
 bool break_if_unanswered(caller_flow& flow, mono_time now) noexcept;
 
 /// What a packet from the service's address meant to the flow.
--- a/libs/traffic/src/caller_flow.cpp
+++ b/libs/traffic/src/caller_flow.cpp
@@ -121,11 +121,11 @@
 
 mono_time next_retransmission(const caller_flow& flow, mono_time now) noexcept {
     const auto wait = first_retransmission * (1 << std::min<int>(flow.attempts, max_doublings));
-    return std::min<mono_time>(now + wait, flow.first_sent + answer_limit);
+    return std::min<mono_time>(now + wait, flow.first_sent + flow.answer_limit);
 }
 
 bool break_if_unanswered(caller_flow& flow, mono_time now) noexcept {
-    if (!flow.waiting || now - flow.first_sent < answer_limit) {
+    if (!flow.waiting || now - flow.first_sent < flow.answer_limit) {
         return false;
     }
     break_flow(flow, break_cause::no_answer);
--- a/libs/traffic/tests/caller_flow_test.cpp
+++ b/libs/traffic/tests/caller_flow_test.cpp
@@ -115,8 +115,8 @@
     auto other = make_host("h01");
     auto silent = open_flow(other);
     begin_message(silent, start);
-    CHECK_FALSE(break_if_unanswered(silent, start + answer_limit - std::chrono::milliseconds{1}));
-    CHECK(break_if_unanswered(silent, start + answer_limit));
+    CHECK_FALSE(break_if_unanswered(silent, start + default_answer_limit - std::chrono::milliseconds{1}));
+    CHECK(break_if_unanswered(silent, start + default_answer_limit));
     CHECK(silent.cause == break_cause::no_answer);
 }
 
@@ -127,7 +127,7 @@
     flow.attempts = 2;
     CHECK(next_retransmission(flow, start) == start + std::chrono::milliseconds{1200});
     flow.attempts = 4;
-    CHECK(next_retransmission(flow, start + std::chrono::seconds{1}) == start + answer_limit);
+    CHECK(next_retransmission(flow, start + std::chrono::seconds{1}) == start + default_answer_limit);
 }
 
 }  // namespace
--- /dev/null
+++ b/scripts/experiments/control.py
@@ -0,0 +1,1 @@
+config = slopes = None
--- /dev/null
+++ b/scripts/experiments/requests.py
@@ -0,0 +1,1 @@
+flood_least_urgent = flood_most_urgent = at_most_once = None
