--- a/apps/entry/entry_context.hpp
+++ b/apps/entry/entry_context.hpp
@@ -11,6 +11,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <set>
 
 namespace guavaramp {
 
@@ -26,6 +27,14 @@
     published<config_snapshot> config;  ///< written by the control thread only
     published<member_list> members;     ///< written by the control thread only
 
+    /// Entry VMs that fault injection cuts off: no control, relay or HTTP traffic to or from them. Null means
+    /// none. Written by the control thread's fault route.
+    published<std::set<ip_address>> blocked_peers;
+
+    /// The process was paused and its members and configuration are being refreshed; decide no new flow until
+    /// then. Written by the control thread.
+    std::atomic<bool> refreshing{false};
+
     std::atomic<bool> leaving{false};  ///< a planned stop has begun; the control thread announces it
     std::atomic<bool> stopped{false};  ///< all duties end
     std::atomic<std::int64_t> last_packet_unix_ms{
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -91,12 +91,19 @@
         return 0;
     }
     start_log("guavaramp-entry", parse_log_level(settings->log_level));
+    const auto local_address = to_string(settings->address);
     entry_context context{.settings = *std::move(settings),
-                          .incarnation = static_cast<std::uint64_t>(now_unix_ms())};
+                          .incarnation = static_cast<std::uint64_t>(now_unix_ms()),
+                          .client = http_client{{.local_address = local_address}}};
     std::signal(SIGTERM, on_signal);
     std::signal(SIGINT, on_signal);
     add_admin_routes(context);
-    control_thread control{context};
+    auto control = control_thread::start(context);
+    if (!control) {
+        log_event(log_level::error, "start_failed", {{"message", control.error().message}});
+        stop_log();
+        return answer_for(control.error().kind).exit_status;
+    }
     auto server = start_http_server(
         {.local = {.address = context.settings.address, .port = context.settings.ports.http},
          .certificate_file = context.settings.certificate_file,
@@ -106,6 +113,7 @@
         });
     if (!server) {
         log_event(log_level::error, "start_failed", {{"message", server.error().message}});
+        control->reset();
         stop_log();
         return answer_for(server.error().kind).exit_status;
     }
@@ -113,6 +121,7 @@
     wait_for_stop(context);
     context.stopped = true;
     server->reset();
+    control->reset();
     stop_log();
     return 0;
 }
--- a/libs/net/include/guavaramp/net/http.hpp
+++ b/libs/net/include/guavaramp/net/http.hpp
@@ -70,10 +70,14 @@
     bool sent_request{false};
 };
 
+struct http_client_options {
+    std::string local_address;  ///< numeric source address of connections; empty means the system's choice
+};
+
 /// An HTTP client (libcurl multi interface) on one thread of its own, with connection reuse.
 class http_client {
 public:
-    http_client();
+    explicit http_client(const http_client_options& options = {});
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -41,7 +41,7 @@
     return code == CURLE_OPERATION_TIMEDOUT ? error_kind::deadline_exceeded : error_kind::unavailable;
 }
 
-void configure(active_call& active) {
+void configure(active_call& active, const std::string& interface) {
     CURL* easy = active.easy;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(active.call.deadline -
                                                                             std::chrono::steady_clock::now());
@@ -54,6 +54,9 @@
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &active);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &active);
+    if (!interface.empty()) {
+        curl_easy_setopt(easy, CURLOPT_INTERFACE, interface.c_str());
+    }
     if (!active.call.ca_file.empty()) {
         curl_easy_setopt(easy, CURLOPT_CAINFO, active.call.ca_file.c_str());
     }
@@ -74,6 +77,7 @@
 
 struct http_client::state {
     CURLM* multi{nullptr};
+    std::string interface;  ///< in libcurl's form "host!ADDRESS"
     std::mutex mutex;
     std::deque<pending_call> waiting;
     std::vector<std::uint64_t> cancelled;
@@ -108,7 +112,7 @@
             active_item->easy = idle_handles.back();
             idle_handles.pop_back();
         }
-        configure(*active_item);
+        configure(*active_item, interface);
         curl_multi_add_handle(multi, active_item->easy);
         active.emplace(active_item->number, std::move(active_item));
     }
@@ -197,7 +201,10 @@
     end_all();
 }
 
-http_client::http_client() : state_(std::make_unique<state>()) {
+http_client::http_client(const http_client_options& options) : state_(std::make_unique<state>()) {
+    if (!options.local_address.empty()) {
+        state_->interface = "host!" + options.local_address;
+    }
     static const CURLcode initialised = curl_global_init(CURL_GLOBAL_ALL);
     static_cast<void>(initialised);
     state_->multi = curl_multi_init();
--- a/libs/net/tests/http_test.cpp
+++ b/libs/net/tests/http_test.cpp
@@ -46,6 +46,21 @@
     CHECK_FALSE(outcome.sent_request);
 }
 
+// Guards against requests of an entry VM that arrive from another address: the platform and peers tell entry
+// VMs apart by it.
+TEST_CASE("HttpTest.ClientConnectsFromItsLocalAddress") {
+    auto server = start_http_server({.local = server_endpoint},
+                                    [](const http_request& request, const http_responder& respond) {
+                                        respond({.body = request.peer_address});
+                                    });
+    REQUIRE(server.has_value());
+    http_client client{{.local_address = "127.50.0.7"}};
+    const auto outcome =
+        client.run({.url = "http://" + to_string(server_endpoint) + "/", .deadline = deadline()});
+    REQUIRE(outcome.response.has_value());
+    CHECK(outcome.response->body == "127.50.0.7");
+}
+
 // Guards against a use of the server's memory by an answer that comes after the server has ended; seen as a
 // heap-use-after-free in the connection limiter under the address sanitizer.
 TEST_CASE("HttpTest.AnswerAfterTheServerEndedDoesNothing") {
