--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -93,26 +93,31 @@
         return 0;
     }
     start_log("guavaramp-entry", parse_log_level(settings->log_level));
+    const auto local_address = to_string(settings->address);
     entry_context context{.settings = *std::move(settings),
-                          .incarnation = static_cast<std::uint64_t>(now_unix_ms())};
+                          .incarnation = static_cast<std::uint64_t>(now_unix_ms()),
+                          .client = http_client{{.local_address = local_address}}};
     std::signal(SIGTERM, on_signal);
     std::signal(SIGINT, on_signal);
     add_admin_routes(context);
-    control_thread control{context};
-    std::unique_ptr<packet_thread> packets;
-    query_service queries{
-        context,
-        {.store = &control.store(),
-         .flows = {.find_flow = [&packets](const flow_key& flow) { return packets->find_flow(flow); }},
-         .refresh_now = [&control] { control.refresh_now(); }}};
     const auto fail_start = [](const error& failure) {
         log_event(log_level::error, "start_failed", {{"message", failure.message}});
         stop_log();
         return answer_for(failure.kind).exit_status;
     };
+    auto control = control_thread::start(context);
+    if (!control) {
+        return fail_start(control.error());
+    }
+    std::unique_ptr<packet_thread> packets;
+    query_service queries{
+        context,
+        {.store = &(*control)->store(),
+         .flows = {.find_flow = [&packets](const flow_key& flow) { return packets->find_flow(flow); }},
+         .refresh_now = [&control] { (*control)->refresh_now(); }}};
     auto started_packets = packet_thread::start(
         context, {.on_flow_ended = [&queries](const flow_record& record) { queries.record_ended(record); },
-                  .on_newer_config = [&control](const ip_address&) { control.refresh_now(); }});
+                  .on_newer_config = [&control](const ip_address&) { (*control)->refresh_now(); }});
     if (!started_packets) {
         return fail_start(started_packets.error());
     }
