--- a/libs/config/tests/commit_test.cpp
+++ b/libs/config/tests/commit_test.cpp
@@ -127,6 +127,24 @@
     CHECK(stored(store).services.at("dispatch").upstreams[0].weight == 7);
 }
 
+// Guards against "not accepted" for a change that took effect before the store went down, and against
+// "may have been accepted" when the store was down from the start.
+TEST_CASE("CommitTest.OutageAfterTheHeadSwapIsOutcomeUnknown") {
+    for (const auto& [key, expected] : {std::pair{std::string{head_key}, error_kind::outcome_unknown},
+                                        std::pair{std::string{}, error_kind::unavailable}}) {
+        fake_store store;
+        add_service(store, "dispatch", 1);
+        store.down = key.empty();
+        store.fault = [&, wanted = key](const std::string& put_key) {
+            store.down = put_key == wanted;
+            return store.down ? put_fault::lost_answer : put_fault::none;
+        };
+        const auto committed = commit(store, weight("dispatch", 9), "first");
+        REQUIRE_FALSE(committed.has_value());
+        CHECK(committed.error().kind == expected);
+    }
+}
+
 // Guards against changes on a store that came back at an earlier revision.
 TEST_CASE("CommitTest.StoreThatWentBackIsNotFollowed") {
     fake_store store;
--- a/libs/config/tests/fake_store.hpp
+++ b/libs/config/tests/fake_store.hpp
@@ -25,10 +25,14 @@
     std::function<put_fault(const std::string& key)> fault;
     std::function<void(const std::string& key)> before_put;
     std::function<void(const std::string& key)> after_put;
+    bool down{false};  ///< every call fails
     std::map<std::string, stored_value> values;
     std::map<std::string, std::size_t> writes;  ///< puts that took effect, by key and value
 
     result<std::optional<stored_value>> get(const std::string& key, mono_time) override {
+        if (down) {
+            return fail(error_kind::unavailable, "down");
+        }
         const auto found = values.find(key);
         auto answer = found == values.end() ? std::nullopt : std::optional{found->second};
         run_delayed();
@@ -37,6 +41,9 @@
 
     result<std::uint64_t> put(const std::string& key, const std::string& value, std::uint64_t if_revision,
                               mono_time) override {
+        if (down) {
+            return fail(error_kind::unavailable, "down");
+        }
         run_delayed();
         if (before_put) {
             auto hook = std::exchange(before_put, nullptr);
