--- a/apps/entry/query_service.cpp
+++ b/apps/entry/query_service.cpp
@@ -38,6 +38,7 @@
 // Twice the bound of 4 s for a change to come into force everywhere, and some room for slow tests.
 constexpr milliseconds in_force_deadline{10'000};
 constexpr milliseconds in_force_poll{10};
+constexpr milliseconds collect_deadline{1500};
 constexpr milliseconds records_period{50};
 constexpr int copies_every_periods = 4;
 constexpr std::int64_t peer_clock_tolerance_ms = 10'000;
@@ -302,6 +303,9 @@
 }
 
 void query_service::answer_peer(const http_request& request, const http_responder& respond) {
+    if (const auto peer = parse_ip_address(request.peer_address); peer && is_blocked(*peer)) {
+        return;  // the peer's call ends at its deadline, as in a partition
+    }
     if (!is_from_fleet(request, context_.settings.keys)) {
         refused_.add();
         respond(error_response({.kind = error_kind::unauthenticated, .message = "the fleet key is wrong"}));
@@ -467,7 +471,7 @@
     const auto state = std::make_shared<gathering>();
     for (const auto& peer : peers) {
         const std::string name = to_string(peer.address);
-        if (peer.state == member_state::dead) {
+        if (peer.state == member_state::dead || is_blocked(peer.address)) {
             // It may be alive behind a partition and know more.
             const std::lock_guard lock{state->mutex};
             state->flows.not_reached.push_back(name);
@@ -536,6 +540,7 @@
     if (!listed) {
         return tl::make_unexpected(listed.error());
     }
+    collect_revisions(*listed);
     std::map<std::string, config_revision> reported;
     for (const auto& value : entries().members) {
         reported[to_string(value.address)] = value.revision;
@@ -581,15 +586,54 @@
     outcome.committed = *std::move(committed);
     log_event(log_level::info, "change_accepted",
               {{"change", outcome.committed.summary}, {"change_id", outcome.committed.change_id}});
-    if (dependencies_.refresh_now) {
-        dependencies_.refresh_now();
-    }
+    announce(outcome.committed);
     if (options.wait) {
         wait_in_force(outcome);
     }
     return outcome;
 }
 
+/// Makes the control thread apply and spread an accepted change.
+void query_service::announce(committed_change& committed) const {
+    if (dependencies_.accept && committed.accepted) {
+        dependencies_.accept(*std::move(committed.accepted));
+    } else if (dependencies_.refresh_now) {
+        dependencies_.refresh_now();
+    }
+    if (dependencies_.confirm) {
+        dependencies_.confirm(committed.revision);
+    }
+}
+
+/// Waits for a short time until the live entry VMs of the VM list have reported the revision in force here.
+/// Revisions are collected on demand; without this, a change accepted elsewhere would never count as
+/// reported.
+void query_service::collect_revisions(const std::vector<listed_vm>& listed) const {
+    const auto config = context_.config.get();
+    if (!dependencies_.confirm || !config) {
+        return;
+    }
+    dependencies_.confirm(config->revision());
+    const auto deadline = std::chrono::steady_clock::now() + collect_deadline;
+    const auto is_awaited = [&](const member& value) {
+        const bool named = std::any_of(listed.begin(), listed.end(), [&](const listed_vm& vm) {
+            return vm.address == to_string(value.address);
+        });
+        return named && value.state != member_state::dead && value.revision < config->revision();
+    };
+    while (!stopping_ && std::chrono::steady_clock::now() < deadline) {
+        const auto known = entries().members;
+        if (std::none_of(known.begin(), known.end(), is_awaited)) {
+            return;
+        }
+        std::this_thread::sleep_for(in_force_poll);
+    }
+}
+
+bool query_service::is_blocked(const ip_address& address) const {
+    return dependencies_.is_blocked && dependencies_.is_blocked(address);
+}
+
 void query_service::wait_in_force(change_outcome& outcome) const {
     const auto deadline = std::chrono::steady_clock::now() + in_force_deadline;
     outcome.waited = true;
@@ -649,8 +693,9 @@
 
 std::optional<member> query_service::keeper_of(const broken_copy& copy) const {
     auto peers = others();
-    std::erase_if(peers, [](const member& value) {
-        return value.state == member_state::dead || value.state == member_state::leaving;
+    std::erase_if(peers, [this](const member& value) {
+        return value.state == member_state::dead || value.state == member_state::leaving ||
+               is_blocked(value.address);
     });
     auto elsewhere = peers;
     std::erase_if(elsewhere, [this](const member& value) {
--- a/apps/entry/query_service.hpp
+++ b/apps/entry/query_service.hpp
@@ -32,6 +32,12 @@
     key_value_store* store{nullptr};  ///< null: changes are answered with `unavailable`
     flow_source flows;
     std::function<void()> refresh_now;  ///< makes the control thread read the accepted configuration at once
+    /// Hands over a configuration whose head swap succeeded; replaces `refresh_now` when it is set.
+    std::function<void(configuration)> accept;
+    /// Makes the control thread collect the revisions of all live members until they reach this one.
+    std::function<void(config_revision)> confirm;
+    /// Whether a fault injected for tests cuts this daemon off from an entry VM.
+    std::function<bool(const ip_address&)> is_blocked;
 };
 
 /// Answers operators' commands (`POST /v1/query`) and other entry VMs' questions about flows
@@ -54,11 +60,6 @@
         flow_record record;
         std::size_t attempt{0};
     };
-    struct peer_question {
-        std::string body;
-        std::vector<member> peers;
-    };
-
     void add_routes();
     void answer_command(const http_request& request, const http_responder& respond);
     void answer_peer(const http_request& request, const http_responder& respond);
@@ -80,6 +81,9 @@
 
     [[nodiscard]] result<change_outcome> change(const change_command& command, const change_options& options);
     [[nodiscard]] result<change_facts> facts_for(const change_command& command, mono_time deadline);
+    void announce(committed_change& committed) const;
+    void collect_revisions(const std::vector<listed_vm>& listed) const;
+    [[nodiscard]] bool is_blocked(const ip_address& address) const;
     void wait_in_force(change_outcome& outcome) const;
 
     void run_records();
--- a/libs/config/include/guavaramp/config/change.hpp
+++ b/libs/config/include/guavaramp/config/change.hpp
@@ -157,6 +157,8 @@
     config_revision revision{0};
     std::string change_id;
     std::string summary;
+    /// The configuration of that revision; absent when a lost answer was resolved by reading back.
+    std::optional<configuration> accepted;
 
     friend bool operator==(const committed_change&, const committed_change&) = default;
 };
--- a/libs/config/src/commit.cpp
+++ b/libs/config/src/commit.cpp
@@ -161,6 +161,7 @@
 
 struct attempt {
     stored_head base;
+    std::map<std::string, service> services;  ///< of the base
     planned_change planned;
 };
 
@@ -187,6 +188,7 @@
         return std::optional<attempt>{};
     }
     attempt made{.base = {.head = base->value.head, .store_revision = base->head_revision},
+                 .services = std::move(base->value.services),
                  .planned = *std::move(planned)};
     if (*written == write_state::taken_by_another) {
         // The other writer either swaps the head at this revision, which the next plan sees, or has died.
@@ -205,13 +207,25 @@
     return std::optional<attempt>{std::move(made)};
 }
 
+/// The configuration after the head swap of `made`.
+configuration configuration_after(const attempt& made) {
+    configuration out{.head = made.planned.head, .services = made.services};
+    for (const auto& value : made.planned.values) {
+        out.services[value.name] = value;
+    }
+    std::erase_if(out.services, [&](const auto& item) { return !out.head.services.contains(item.first); });
+    return out;
+}
+
 /// Swaps the head. Nothing when another change came between and the whole attempt is to be repeated.
 result<std::optional<committed_change>> swap_head(commit& work, const attempt& made) {
     const std::string text = to_json(made.planned.head).dump();
     while (true) {
         const auto put = work.store.put(head_key, text, made.base.store_revision, work.deadline);
         if (put) {
-            return accepted(made.planned.head, work.facts.change_id);
+            auto change = accepted(made.planned.head, work.facts.change_id);
+            change.accepted = configuration_after(made);
+            return change;
         }
         const bool unsent = put.error().kind == error_kind::unavailable;
         const bool definite = unsent || put.error().kind == error_kind::conflict;
--- a/libs/config/tests/commit_test.cpp
+++ b/libs/config/tests/commit_test.cpp
@@ -189,6 +189,8 @@
         const auto value = stored(store);
         if (own) {
             RC_ASSERT(holds(value, "own"));
+            RC_ASSERT(!own->accepted || own->accepted->head.revision != value.head.revision ||
+                      *own->accepted == value);
         } else if (own.error().kind != error_kind::outcome_unknown) {
             RC_ASSERT_FALSE(holds(value, "own"));
         }
