Add at-most-once calls to the HTTP client

libcurl sends a request again when a reused connection closes before the first byte of the answer, although the peer may have run it. Calls with at_most_once use a new connection, on which libcurl does not repeat.

--- a/libs/net/include/guavaramp/net/http.hpp
+++ b/libs/net/include/guavaramp/net/http.hpp
@@ -61,6 +61,9 @@
     std::map<std::string, std::string> headers;
     mono_time deadline{};
     std::string ca_file;  ///< PEM trust anchor for https URLs; empty means the system's
+    /// Sends the request on a new connection. libcurl sends a request again when a reused connection closes
+    /// before the first byte of the answer, although the peer may have run it.
+    bool at_most_once{false};
 };
 
 /// The result of a call. `sent_request` tells whether a byte of the request may have reached the peer: false
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -57,6 +57,10 @@
     if (!active.call.ca_file.empty()) {
         curl_easy_setopt(easy, CURLOPT_CAINFO, active.call.ca_file.c_str());
     }
+    if (active.call.at_most_once) {
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
     if (!active.call.body.empty() || active.call.method == "POST" || active.call.method == "PUT") {
         curl_easy_setopt(easy, CURLOPT_POSTFIELDS, active.call.body.data());
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(active.call.body.size()));
@@ -127,8 +131,7 @@
 namespace {
 
 // libcurl counts request bytes per transfer; on a reused connection that broke, a retry on a new one starts
-// at 0 again, so this is an upper bound for the last connection only. CURLOPT_FRESH_CONNECT is not needed
-// because libcurl retries only when no byte of the answer came on a reused connection.
+// at 0 again, so this is exact for calls with `at_most_once` and covers the last connection of others.
 bool may_have_sent(CURL* easy) {
     long request_size = 0;
     curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_size);
