Add the request path of the entry daemon

POST /v1/requests is forwarded to the owner of the id over signed, replay-protected calls; the owner admits it and sends it to one host.

--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -1,4 +1,5 @@
 #include "entry_context.hpp"
+#include "request_thread.hpp"
 
 #include <guavaramp/telemetry/log.hpp>
 
@@ -95,6 +96,7 @@
     std::signal(SIGTERM, on_signal);
     std::signal(SIGINT, on_signal);
     add_admin_routes(context);
+    request_thread requests{context};
     auto server = start_http_server(
         {.local = {.address = context.settings.address, .port = context.settings.ports.http},
          .certificate_file = context.settings.certificate_file,
