--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -2,6 +2,7 @@
 #include "entry_context.hpp"
 #include "packet_thread.hpp"
 #include "query_service.hpp"
+#include "request_thread.hpp"
 
 #include <guavaramp/telemetry/log.hpp>
 
@@ -114,7 +115,13 @@
         context,
         {.store = &(*control)->store(),
          .flows = {.find_flow = [&packets](const flow_key& flow) { return packets->find_flow(flow); }},
-         .refresh_now = [&control] { (*control)->refresh_now(); }}};
+         .refresh_now = [&control] { (*control)->refresh_now(); },
+         .accept = [&control](configuration accepted) { (*control)->accept(std::move(accepted)); },
+         .confirm = [&control](config_revision revision) { (*control)->confirm(revision); },
+         .is_blocked = [&context](const ip_address& peer) {
+             const auto blocked = context.blocked_peers.get();
+             return blocked && blocked->contains(peer);
+         }}};
     auto started_packets = packet_thread::start(
         context, {.on_flow_ended = [&queries](const flow_record& record) { queries.record_ended(record); },
                   .on_newer_config = [&control](const ip_address&) { (*control)->refresh_now(); }});
@@ -122,6 +129,7 @@
         return fail_start(started_packets.error());
     }
     packets = *std::move(started_packets);
+    request_thread requests{context};
     // The server starts last: routes are added before it, and its handlers use all duties.
     auto server = start_http_server(
         {.local = {.address = context.settings.address, .port = context.settings.ports.http},
