Test the flow table and steering with a fake fleet

Properties: every flow keeps its upstream across crashes, joins, stops, lost, repeated and late relays and mixed configuration versions; isolation; silence; full table.

--- a/libs/flow/src/resolution.cpp
+++ b/libs/flow/src/resolution.cpp
@@ -30,6 +30,7 @@
     std::ranges::sort(order, std::greater{});
     order.resize(std::min(order.size(), count));
     std::vector<ip_address> addresses;
+    addresses.reserve(order.size());
     for (const auto& [score, address] : order) {
         addresses.push_back(address);
     }
--- a/libs/flow/src/steering.cpp
+++ b/libs/flow/src/steering.cpp
@@ -285,7 +285,7 @@
     auto record = record_of(state, entry, now);
     record.end = end;
     record.ended_at = now.wall;
-    out.ended.push_back(std::move(record));
+    out.ended.push_back(record);
 }
 
 std::vector<std::byte> build_segment(const endpoint& source, const endpoint& destination, std::uint8_t flags,
--- /dev/null
+++ b/libs/flow/tests/steering_test.cpp
@@ -0,0 +1,313 @@
+#include "fake_fleet.hpp"
+
+#include <property.hpp>
+
+#include <algorithm>
+
+namespace guavaramp {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t dispatch_address = 0x0a090001;
+constexpr std::uint32_t records_address = 0x0a090002;
+
+endpoint packet_address(std::uint32_t number) {
+    return {.address = from_ipv4(0x7f140000U + number), .port = 6080};
+}
+
+service make_service(std::uint32_t id, const char* name, std::uint32_t address, std::uint32_t first_upstream,
+                     std::uint32_t hosts) {
+    service value{
+        .id = service_id{id}, .name = name, .address = {.address = from_ipv4(address), .port = 443}};
+    for (std::uint32_t index = 0; index < hosts; ++index) {
+        const auto number = first_upstream + index;
+        value.upstreams.push_back({.id = upstream_id{number},
+                                   .name = "h" + std::to_string(number),
+                                   .packet_address = packet_address(number)});
+    }
+    return value;
+}
+
+configuration two_services() {
+    configuration value{.head = {.revision = config_revision{1}}};
+    value.services["dispatch"] = make_service(1, "dispatch", dispatch_address, 1, 6);
+    value.services["records"] = make_service(2, "records", records_address, 20, 3);
+    return value;
+}
+
+/// Hosts accept what the configuration sends them.
+void sync_hosts(fake_fleet& fleet, const configuration& value) {
+    for (auto& [address, host] : fleet.hosts) {
+        host.serves.clear();
+    }
+    for (const auto& [name, one] : value.services) {
+        for (const auto& host : one.upstreams) {
+            fleet.hosts[host.packet_address].serves.insert(one.address);
+        }
+    }
+}
+
+std::unique_ptr<fake_fleet> make_fleet(std::uint64_t seed, std::uint32_t vms) {
+    auto fleet = std::make_unique<fake_fleet>(seed);
+    fleet->publish_config(two_services());
+    sync_hosts(*fleet, fleet->config->value());
+    for (std::uint32_t number = 1; number <= vms; ++number) {
+        fleet->add_vm(number);
+    }
+    fleet->publish_members();
+    return fleet;
+}
+
+fake_fleet::caller_flow make_flow(std::uint32_t number, std::uint32_t service) {
+    return {.key = {.caller = {.address = from_ipv4(0x0b000000U + number), .port = 4000},
+                    .service = {.address = from_ipv4(service), .port = 443}}};
+}
+
+std::vector<std::unique_ptr<fake_fleet::caller_flow>> open_flows(fake_fleet& fleet, std::uint32_t count) {
+    std::vector<std::unique_ptr<fake_fleet::caller_flow>> flows;
+    for (std::uint32_t number = 0; number < count; ++number) {
+        const auto service = number % 3 == 0 ? records_address : dispatch_address;
+        flows.push_back(std::make_unique<fake_fleet::caller_flow>(make_flow(number, service)));
+        fleet.flows[flows.back()->key] = flows.back().get();
+    }
+    for (int attempt = 0; attempt < 20; ++attempt) {
+        for (auto& flow : flows) {
+            if (!flow->established) {
+                fleet.send(*flow, fleet.any_vm(), tcp_flag::syn, 0);
+            }
+        }
+        fleet.run(milliseconds{300});
+    }
+    for (auto& flow : flows) {
+        ++flow->sequence;
+    }
+    return flows;
+}
+
+/// Sends data through a random VM, or repeats what was not answered.
+void send_data(fake_fleet& fleet, fake_fleet::caller_flow& flow) {
+    flow.first_data = flow.first_data == mono_time{} ? fleet.now.mono : flow.first_data;
+    if (flow.acknowledged) {
+        flow.sequence += 100;
+        flow.acknowledged = false;
+    }
+    fleet.send(flow, fleet.any_vm(), tcp_flag::ack | tcp_flag::psh, 100);
+}
+
+void change_randomly(fake_fleet& fleet, std::uint32_t& next_vm) {
+    switch (fleet.pick(5)) {
+        case 0:  // crash
+            if (fleet.vms.size() > 2) {
+                fleet.vms.erase(fleet.any_vm());
+                const auto unaware = fleet.any_vm();
+                fleet.publish_members(&unaware);
+            }
+            break;
+        case 1:  // a VM without state joins
+            fleet.add_vm(next_vm++);
+            fleet.publish_members();
+            break;
+        case 2:  // planned stop begins
+            if (fleet.vms.size() > 3) {
+                set_leaving(*fleet.vms.at(fleet.any_vm()), fleet.now);
+                fleet.publish_members();
+            }
+            break;
+        case 3: {  // one upstream drained or active again, other weights; known to some VMs only
+            auto value = fleet.config->value();
+            value.head.revision = config_revision{static_cast<std::uint64_t>(value.head.revision) + 1};
+            auto& hosts = value.services.at("dispatch").upstreams;
+            auto& host = hosts[fleet.pick(hosts.size() - 1) + 1];
+            host.state =
+                host.state == upstream_state::active ? upstream_state::draining : upstream_state::active;
+            host.weight = static_cast<std::uint32_t>(fleet.pick(1000) + 1);
+            fleet.publish_config(value, 0.5);
+            break;
+        }
+        default:
+            fleet.publish_members();
+            break;
+    }
+}
+
+// Guards against flows that break or change host while entry VMs crash, join without state and leave, relays
+// are lost, repeated and reordered, and configuration versions differ.
+TEST_CASE("SteeringTest.EveryFlowKeepsItsUpstreamAcrossChanges") {
+    check_property("no broken flow", [](std::uint64_t seed) {
+        auto fleet = make_fleet(seed, 4);
+        fleet->loss = 0.05;
+        auto flows = open_flows(*fleet, 30);
+        std::uint32_t next_vm = 20;
+        for (int round = 0; round < 20; ++round) {
+            change_randomly(*fleet, next_vm);
+            for (auto& flow : flows) {
+                if (fleet->chance(0.5)) {
+                    send_data(*fleet, *flow);
+                }
+            }
+            fleet->run(milliseconds{200});
+        }
+        fleet->loss = 0.0;
+        fleet->publish_members();
+        for (int attempt = 0; attempt < 10; ++attempt) {
+            for (auto& flow : flows) {
+                if (attempt == 0 || !flow->acknowledged) {
+                    send_data(*fleet, *flow);
+                }
+            }
+            fleet->run(milliseconds{500});
+        }
+        for (const auto& flow : flows) {
+            RC_ASSERT(flow->established);
+            RC_ASSERT(flow->resets == 0);
+            RC_ASSERT(flow->acknowledged);
+        }
+        RC_ASSERT(fleet->unknown_data == 0);
+        RC_ASSERT(fleet->misdelivered == 0);
+    });
+}
+
+// Guards against a packet of one service at an upstream of another: upstream ids named by peers, addresses
+// reused by another service, and flows kept from before the change.
+TEST_CASE("SteeringTest.APacketNeverReachesAnUpstreamOfAnotherService") {
+    check_property("isolation", [](std::uint64_t seed) {
+        auto fleet = make_fleet(seed, 3);
+        auto flows = open_flows(*fleet, 30);
+        // Host 2 leaves dispatch; its address serves records under a new id. The change is in force
+        // everywhere.
+        auto value = fleet->config->value();
+        value.head.revision = config_revision{2};
+        auto& removed = value.services.at("dispatch").upstreams[1];
+        removed.state = upstream_state::retired;
+        removed.retired_at = fleet->now.wall;
+        auto reused = removed;
+        reused.id = upstream_id{40};
+        reused.state = upstream_state::active;
+        reused.retired_at.reset();
+        value.services.at("records").upstreams.push_back(reused);
+        fleet->publish_config(value);
+        fleet->hosts[removed.packet_address].serves = {value.services.at("records").address};
+        fleet->misdelivered = 0;
+        for (int round = 0; round < 20; ++round) {
+            for (auto& flow : flows) {
+                // Peers with false knowledge name any upstream in any kind of answer.
+                const std::vector<std::byte> data(10);
+                const ip_packet packet{.source = flow->key.caller,
+                                       .destination = flow->key.service,
+                                       .tcp_flags = tcp_flag::ack,
+                                       .sequence = flow->sequence,
+                                       .payload = data};
+                std::vector<std::byte> bytes(200);
+                bytes.resize(build_ip_packet(packet, bytes));
+                const auto kind = static_cast<relay_kind>(fleet->pick(6) + 1);
+                const auto named = upstream_id{static_cast<std::uint32_t>(fleet->pick(45))};
+                fleet->inject({.kind = kind, .origin = fleet->any_vm(), .upstream = named}, bytes);
+                send_data(*fleet, *flow);
+            }
+            fleet->run(milliseconds{200});
+        }
+        RC_ASSERT(fleet->misdelivered == 0);
+    });
+}
+
+// Guards against silence that is not detected within 10 s, and against resets of idle and of healthy flows.
+TEST_CASE("SteeringTest.OnlyForgottenFlowsAreReset") {
+    check_property("silence", [](std::uint64_t seed) {
+        auto fleet = make_fleet(seed, 3);
+        auto flows = open_flows(*fleet, 40);
+        for (std::size_t index = 0; index < flows.size(); index += 4) {
+            for (auto& [address, host] : fleet->hosts) {
+                if (host.connections.contains(flows[index]->key)) {
+                    host.forgotten.insert(flows[index]->key);
+                }
+            }
+        }
+        const auto is_idle = [](std::size_t index) { return index % 4 == 3; };
+        for (int round = 0; round < 75; ++round) {
+            for (std::size_t index = 0; index < flows.size(); ++index) {
+                // A third of the packets only, so that healthy flows are quiet for a while as well.
+                if (!is_idle(index) && flows[index]->resets == 0 && fleet->chance(0.3)) {
+                    send_data(*fleet, *flows[index]);
+                }
+            }
+            fleet->run(milliseconds{200});
+        }
+        for (std::size_t index = 0; index < flows.size(); ++index) {
+            RC_ASSERT((flows[index]->resets > 0) == (index % 4 == 0));
+            RC_ASSERT(flows[index]->resets == 0 ||
+                      flows[index]->reset_at - flows[index]->first_data <= seconds{10});
+        }
+        for (const auto& record : fleet->ended) {
+            RC_ASSERT(record.end == flow_end::lost_at_upstream || record.end == flow_end::host_unreachable);
+        }
+    });
+}
+
+// Guards against a flow of which nobody knows anything being kept waiting, and against a reset without a
+// cause.
+TEST_CASE("SteeringTest.AFlowThatNoHostKnowsIsResetWithACause") {
+    auto fleet = make_fleet(1, 3);
+    auto flow = make_flow(7, dispatch_address);
+    fleet->flows[flow.key] = &flow;
+    send_data(*fleet, flow);
+    fleet->run(milliseconds{200});
+    CHECK(flow.resets == 1);
+    REQUIRE(fleet->ended.size() == 1);
+    CHECK(fleet->ended.front().end == flow_end::not_found);
+    CHECK(fleet->unknown_data == 0);
+}
+
+// Guards against new work on a draining upstream and against a configuration that moves open flows.
+TEST_CASE("SteeringTest.ADrainingUpstreamKeepsItsFlowsAndGetsNoNewOnes") {
+    auto fleet = make_fleet(1, 3);
+    auto flows = open_flows(*fleet, 60);
+    auto value = fleet->config->value();
+    value.head.revision = config_revision{2};
+    auto& drained = value.services.at("dispatch").upstreams[0];
+    drained.drain_at = fleet->now.wall;
+    fleet->publish_config(value);
+    const auto before = fleet->hosts[drained.packet_address].connections;
+    REQUIRE(!before.empty());
+    for (std::uint32_t number = 100; number < 200; ++number) {
+        auto flow = make_flow(number, dispatch_address);
+        fleet->send(flow, fleet->any_vm(), tcp_flag::syn, 0);
+    }
+    for (auto& flow : flows) {
+        send_data(*fleet, *flow);
+    }
+    fleet->run(seconds{2});
+    CHECK(fleet->hosts[drained.packet_address].connections == before);
+    for (const auto& flow : flows) {
+        CHECK(flow->acknowledged);
+    }
+}
+
+// Guards against established flows that suffer when the table is full of others.
+TEST_CASE("SteeringTest.AFullTableKeepsEstablishedFlows") {
+    auto fleet = std::make_unique<fake_fleet>(1);
+    fleet->max_flows = 64;
+    fleet->publish_config(two_services());
+    sync_hosts(*fleet, fleet->config->value());
+    fleet->add_vm(1);
+    fleet->publish_members();
+    auto flows = open_flows(*fleet, 40);
+    for (std::uint32_t number = 1000; number < 1500; ++number) {
+        auto flow = make_flow(number, dispatch_address);
+        fleet->send(flow, fleet->any_vm(), tcp_flag::syn, 0);
+    }
+    fleet->run(seconds{1});
+    for (auto& flow : flows) {
+        send_data(*fleet, *flow);
+    }
+    fleet->run(seconds{1});
+    CHECK(fleet->drops[drop_reason::table_full] > 400);
+    for (const auto& flow : flows) {
+        CHECK(flow->acknowledged);
+        CHECK(flow->resets == 0);
+    }
+}
+
+}  // namespace
+}  // namespace guavaramp
