Ask two peers before a SYN is placed after a membership change

With one peer asked, a SYN repeated after its owner crashed could be placed a second time although another daemon knew the flow. A property now covers it.

--- a/libs/flow/src/resolution.cpp
+++ b/libs/flow/src/resolution.cpp
@@ -17,10 +17,10 @@
 constexpr auto membership_settling = seconds{3};
 // An unknown UDP flow cannot be probed, so previous owners are asked for as long as a caller may be quiet.
 constexpr auto udp_settling = seconds{60};
-constexpr std::size_t peers_asked_for_syn = 1;
-constexpr std::size_t peers_asked_otherwise = 2;
+// A flow's packets pass several daemons, so after a crash of its owner one of the next two mostly knows it.
+constexpr std::size_t most_peers_asked = 2;
 
-std::vector<ip_address> peers_to_ask(const steering_state& state, std::uint64_t hash, std::size_t count) {
+std::vector<ip_address> peers_to_ask(const steering_state& state, std::uint64_t hash) {
     std::vector<std::pair<std::uint64_t, ip_address>> order;
     for (const auto& peer : state.peers) {
         if (peer.address != state.options.local) {
@@ -28,7 +28,7 @@
         }
     }
     std::ranges::sort(order, std::greater{});
-    order.resize(std::min(order.size(), count));
+    order.resize(std::min(order.size(), most_peers_asked));
     std::vector<ip_address> addresses;
     addresses.reserve(order.size());
     for (const auto& [score, address] : order) {
@@ -140,8 +140,7 @@
         return;
     }
     const bool new_flow = may_open(packet);
-    const auto peers =
-        peers_to_ask(state, hash, is_syn(packet) ? peers_asked_for_syn : peers_asked_otherwise);
+    const auto peers = peers_to_ask(state, hash);
     if (new_flow && (peers.empty() || !may_be_placed_elsewhere(state, packet, hash, now))) {
         place(state, inner, packet, hash, target, origin, false, now, out);
         return;
--- a/libs/flow/tests/steering_test.cpp
+++ b/libs/flow/tests/steering_test.cpp
@@ -169,6 +169,41 @@
     });
 }
 
+// Guards against a second upstream for a SYN that is repeated while ownership moves, by a planned stop or a
+// crash.
+TEST_CASE("SteeringTest.ARepeatedSynGetsTheSameUpstreamFromTheNextOwner") {
+    check_property("one host a flow", [](std::uint64_t seed, bool crash) {
+        auto fleet = make_fleet(seed, 3);
+        fleet->run(seconds{5});
+        auto flows = open_flows(*fleet, 30);
+        const auto stopped = fleet->any_vm();
+        if (crash) {
+            fleet->vms.erase(stopped);
+        } else {
+            set_leaving(*fleet->vms.at(stopped), fleet->now);
+        }
+        fleet->publish_members();
+        std::erase_if(flows, [&fleet](const auto& flow) {
+            return std::ranges::none_of(fleet->vms, [&](const auto& item) {
+                return find_flow(*item.second, flow->key, fleet->now).has_value();
+            });
+        });
+        for (auto& flow : flows) {
+            --flow->sequence;
+            fleet->send(*flow, fleet->any_vm(), tcp_flag::syn, 0);
+            fleet->send(*flow, fleet->any_vm(), tcp_flag::syn, 0);
+        }
+        fleet->run(seconds{1});
+        RC_ASSERT(flows.size() > 15U);
+        for (const auto& flow : flows) {
+            const auto hosts = std::ranges::count_if(fleet->hosts, [&flow](const auto& item) {
+                return item.second.connections.contains(flow->key);
+            });
+            RC_ASSERT(hosts == 1);
+        }
+    });
+}
+
 // Guards against a packet of one service at an upstream of another: upstream ids named by peers, addresses
 // reused by another service, and flows kept from before the change.
 TEST_CASE("SteeringTest.APacketNeverReachesAnUpstreamOfAnotherService") {
