--- a/libs/net/include/guavaramp/net/http.hpp
+++ b/libs/net/include/guavaramp/net/http.hpp
@@ -61,6 +61,9 @@
     std::map<std::string, std::string> headers;
     mono_time deadline{};
     std::string ca_file;  ///< PEM trust anchor for https URLs; empty means the system's
+    /// Sends the request on a new connection. libcurl sends a request again when a reused connection closes
+    /// before the first byte of the answer, although the peer may have run it.
+    bool at_most_once{false};
 };
 
 /// The result of a call. `sent_request` tells whether a byte of the request may have reached the peer: false
@@ -70,10 +73,14 @@
     bool sent_request{false};
 };
 
+struct http_client_options {
+    std::string local_address;  ///< numeric source address of connections; empty means the system's choice
+};
+
 /// An HTTP client (libcurl multi interface) on one thread of its own, with connection reuse.
 class http_client {
 public:
-    http_client();
+    explicit http_client(const http_client_options& options = {});
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -41,7 +41,7 @@
     return code == CURLE_OPERATION_TIMEDOUT ? error_kind::deadline_exceeded : error_kind::unavailable;
 }
 
-void configure(active_call& active) {
+void configure(active_call& active, const std::string& interface) {
     CURL* easy = active.easy;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(active.call.deadline -
                                                                             std::chrono::steady_clock::now());
@@ -54,9 +54,16 @@
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &active);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &active);
+    if (!interface.empty()) {
+        curl_easy_setopt(easy, CURLOPT_INTERFACE, interface.c_str());
+    }
     if (!active.call.ca_file.empty()) {
         curl_easy_setopt(easy, CURLOPT_CAINFO, active.call.ca_file.c_str());
     }
+    if (active.call.at_most_once) {
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
     if (!active.call.body.empty() || active.call.method == "POST" || active.call.method == "PUT") {
         curl_easy_setopt(easy, CURLOPT_POSTFIELDS, active.call.body.data());
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(active.call.body.size()));
@@ -74,6 +81,7 @@
 
 struct http_client::state {
     CURLM* multi{nullptr};
+    std::string interface;  ///< in libcurl's form "host!ADDRESS"
     std::mutex mutex;
     std::deque<pending_call> waiting;
     std::vector<std::uint64_t> cancelled;
@@ -108,7 +116,7 @@
             active_item->easy = idle_handles.back();
             idle_handles.pop_back();
         }
-        configure(*active_item);
+        configure(*active_item, interface);
         curl_multi_add_handle(multi, active_item->easy);
         active.emplace(active_item->number, std::move(active_item));
     }
@@ -127,8 +135,7 @@
 namespace {
 
 // libcurl counts request bytes per transfer; on a reused connection that broke, a retry on a new one starts
-// at 0 again, so this is an upper bound for the last connection only. CURLOPT_FRESH_CONNECT is not needed
-// because libcurl retries only when no byte of the answer came on a reused connection.
+// at 0 again, so this is exact for calls with `at_most_once` and covers the last connection of others.
 bool may_have_sent(CURL* easy) {
     long request_size = 0;
     curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_size);
@@ -197,7 +204,10 @@
     end_all();
 }
 
-http_client::http_client() : state_(std::make_unique<state>()) {
+http_client::http_client(const http_client_options& options) : state_(std::make_unique<state>()) {
+    if (!options.local_address.empty()) {
+        state_->interface = "host!" + options.local_address;
+    }
     static const CURLcode initialised = curl_global_init(CURL_GLOBAL_ALL);
     static_cast<void>(initialised);
     state_->multi = curl_multi_init();
