--- a/apps/standin_host/main.cpp
+++ b/apps/standin_host/main.cpp
@@ -1,4 +1,5 @@
 #include "packet_side.hpp"
+#include "request_side.hpp"
 
 #include <guavaramp/net/http.hpp>
 
@@ -7,7 +8,9 @@
 #include <chrono>
 #include <csignal>
 #include <iostream>
+#include <memory>
 #include <thread>
+#include <vector>
 
 namespace guavaramp {
 namespace {
@@ -23,8 +26,8 @@
     endpoint packet_address;
     endpoint request_address;
     host_options host;
+    host_work_options work;
     bool false_health{false};
-    double cold_start_s{0.0};
 };
 
 int report(const error& failure) {
@@ -32,6 +35,24 @@
     return answer_for(failure.kind).exit_status;
 }
 
+/// One HTTP server for each service, on consecutive ports; all share the host's slots.
+result<std::vector<std::unique_ptr<http_server>>> serve(const program_options& options,
+                                                        const http_router& router) {
+    std::vector<std::unique_ptr<http_server>> servers;
+    auto local = options.request_address;
+    for (std::size_t index = 0; index < options.host.services.size(); ++index, ++local.port) {
+        auto server = start_http_server({.local = local},
+                                        [&router](http_request request, const http_responder& respond) {
+                                            router.handle(std::move(request), respond);
+                                        });
+        if (!server) {
+            return tl::make_unexpected(server.error());
+        }
+        servers.push_back(*std::move(server));
+    }
+    return servers;
+}
+
 int run(const program_options& options) {
     std::signal(SIGTERM, on_signal);
     std::signal(SIGINT, on_signal);
@@ -40,22 +61,17 @@
         return report(socket.error());
     }
     packet_side packets{*std::move(socket), options.host};
+    host_work work{options.work};
     http_router router;
     packets.add_routes(router);
-    router.add("GET", "/healthz", [](const http_request&, const http_responder& respond) {
-        respond({.body = R"({"status":"ok"})"});
-    });
-    auto server = start_http_server({.local = options.request_address},
-                                    [&router](http_request request, const http_responder& respond) {
-                                        router.handle(std::move(request), respond);
-                                    });
-    if (!server) {
-        return report(server.error());
+    work.add_routes(router, options.false_health);
+    const auto servers = serve(options, router);
+    if (!servers) {
+        return report(servers.error());
     }
     while (stop_signal == 0) {
         std::this_thread::sleep_for(stop_poll_period);
     }
-    server->reset();
     return 0;
 }
 
@@ -70,8 +86,9 @@
                            GUAVARAMP_VERSION};
     TCLAP::ValueArg<std::string> address{"a", "address", "Address of the host", true, "", "address", command};
     TCLAP::ValueArg<std::uint16_t> packet_port{"", "packet-port", "GUE port", false, 6080, "port", command};
-    TCLAP::ValueArg<std::uint16_t> request_port{"",   "request-port", "HTTP port", false,
-                                                8080, "port",         command};
+    TCLAP::ValueArg<std::uint16_t> request_port{
+        "",     "request-port", "HTTP port of the first service; further ones follow", false, 8080,
+        "port", command};
     TCLAP::ValueArg<std::string> name{"n", "name", "Name, prefixed to answers", true, "", "name", command};
     TCLAP::MultiArg<std::string> services{
         "", "service", "A service that this host accepts, NAME=ADDRESS:PORT", true, "service", command};
@@ -81,6 +98,8 @@
         "", "max-connections", "Open connections at most", false, 2000, "count", command};
     TCLAP::ValueArg<double> work_ms{"",   "work-ms", "Work of a data packet in ms at speed 1", false, 0.0,
                                     "ms", command};
+    TCLAP::ValueArg<double> request_work_ms{
+        "", "request-work-ms", "Mean work of a request in ms at speed 1", false, 100.0, "ms", command};
     TCLAP::SwitchArg false_health{"", "false-health", "Report good health and no load always", command};
     TCLAP::ValueArg<double> cold_start{
         "", "cold-start-s", "Seconds of reduced speed after the start", false, 0.0, "s", command};
@@ -92,9 +111,10 @@
     if (!host_address) {
         return fail(error_kind::invalid_argument, "--address: " + host_address.error().message);
     }
-    if (!(speed.getValue() > 0.0) || work_ms.getValue() < 0.0 || slots.getValue() == 0) {
+    if (!(speed.getValue() > 0.0) || work_ms.getValue() < 0.0 || !(request_work_ms.getValue() > 0.0) ||
+        slots.getValue() == 0) {
         return fail(error_kind::invalid_argument,
-                    "--speed and --slots must be above 0, --work-ms must not be negative");
+                    "--speed, --slots and --request-work-ms must be above 0, --work-ms must not be negative");
     }
     program_options options{.packet_address = {.address = *host_address, .port = packet_port.getValue()},
                             .request_address = {.address = *host_address, .port = request_port.getValue()},
@@ -104,8 +124,12 @@
                                      .work_ms = work_ms.getValue(),
                                      .max_connections = connections.getValue(),
                                      .seed = seed.getValue()},
-                            .false_health = false_health.getValue(),
-                            .cold_start_s = cold_start.getValue()};
+                            .work = {.speed = speed.getValue(),
+                                     .slots = static_cast<int>(slots.getValue()),
+                                     .work_ms = request_work_ms.getValue(),
+                                     .cold_start_s = cold_start.getValue(),
+                                     .seed = seed.getValue()},
+                            .false_health = false_health.getValue()};
     for (const auto& text : services.getValue()) {
         const auto service = parse_service(text);
         if (!service) {
