--- a/apps/entry/control_thread.cpp
+++ b/apps/entry/control_thread.cpp
@@ -176,7 +176,7 @@
 
 void control_thread::step_once() {
     // The tick comes first: after a pause, it must be noticed before old datagrams are read.
-    advance(tick{});
+    advance(membership_tick{});
     receive();
     take_requests();
     take_answers();
@@ -413,7 +413,7 @@
     log_event(log_level::info, "configuration_applied",
               {{"revision", std::to_string(static_cast<std::uint64_t>(revision))}});
     advance(revision_applied{.revision = revision});
-    advance(tick{});  // the push goes out now
+    advance(membership_tick{});  // the push goes out now
 }
 
 void control_thread::end_refresh() {
--- a/apps/entry/packet_thread.cpp
+++ b/apps/entry/packet_thread.cpp
@@ -105,7 +105,7 @@
             answer_queries(now);
             if (now.mono >= next_tick) {
                 next_tick = now.mono + tick_period;
-                tick(state_, now, effects_);
+                advance_clock(state_, now, effects_);
                 execute();
                 publish_totals();
             }
--- a/libs/flow/include/guavaramp/flow/steering.hpp
+++ b/libs/flow/include/guavaramp/flow/steering.hpp
@@ -193,7 +193,7 @@
 void apply(steering_state& state, const relay_packet& event, steering_time now, steering_effects& out);
 
 /// Periodic work: resolutions in progress, silent flows, expired flows, speeds. Call every 10 ms or so.
-void tick(steering_state& state, steering_time now, steering_effects& out);
+void advance_clock(steering_state& state, steering_time now, steering_effects& out);
 
 /// Whether a packet from outer `source` comes from an upstream of its inner source's service.
 [[nodiscard]] bool is_from_upstream(const steering_state& state, const endpoint& source,
--- a/libs/flow/src/silence.cpp
+++ b/libs/flow/src/silence.cpp
@@ -189,7 +189,7 @@
 
 }  // namespace steering_detail
 
-void tick(steering_state& state, steering_time now, steering_effects& out) {
+void advance_clock(steering_state& state, steering_time now, steering_effects& out) {
     if (!state.config) {
         return;
     }
--- a/libs/flow/tests/fake_fleet.hpp
+++ b/libs/flow/tests/fake_fleet.hpp
@@ -105,7 +105,7 @@
             now.mono += step;
             now.wall += step;
             for (auto& [address, vm] : vms) {
-                tick(*vm, now, effects_);
+                advance_clock(*vm, now, effects_);
                 execute(address);
             }
             deliver_due();
--- a/libs/membership/include/guavaramp/membership/membership.hpp
+++ b/libs/membership/include/guavaramp/membership/membership.hpp
@@ -71,7 +71,7 @@
 };
 
 /// Events.
-struct tick {};
+struct membership_tick {};
 struct message_received {
     control_message message;
 };
@@ -86,7 +86,7 @@
 struct confirmation_wanted {
     config_revision revision;
 };
-using membership_event = std::variant<tick, message_received, vm_list_received, revision_applied,
+using membership_event = std::variant<membership_tick, message_received, vm_list_received, revision_applied,
                                       leaving_started, confirmation_wanted>;
 
 /// Effects.
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -46,7 +46,7 @@
     std::mt19937_64& random;
     membership_effects effects;
 
-    void run(const tick& event);
+    void run(const membership_tick& event);
     void run(const message_received& event);
     void run(const vm_list_received& event);
     void run(const revision_applied& event);
@@ -338,7 +338,7 @@
     }
 }
 
-void step::run(const tick&) {
+void step::run(const membership_tick&) {
     if (now - state.last_tick >= state.options.late_tick) {
         resume();
     }
--- a/libs/membership/tests/membership_test.cpp
+++ b/libs/membership/tests/membership_test.cpp
@@ -76,7 +76,7 @@
             deliver_due();
             for (std::size_t index = 0; index < states.size(); ++index) {
                 if (running[index]) {
-                    send(index, apply(states[index], tick{}, now, random));
+                    send(index, apply(states[index], membership_tick{}, now, random));
                 }
             }
         }
@@ -166,7 +166,7 @@
     members.run(seconds{4});
     members.in_flight.clear();
     members.running[2] = true;
-    const auto effects = apply(members.states[2], tick{}, members.now, members.random);
+    const auto effects = apply(members.states[2], membership_tick{}, members.now, members.random);
     CHECK(effects.resumed);
     CHECK(effects.changes.empty());
     members.send(2, effects);
--- a/libs/traffic/include/guavaramp/traffic/caller_flow.hpp
+++ b/libs/traffic/include/guavaramp/traffic/caller_flow.hpp
@@ -66,7 +66,8 @@
 void begin_close(caller_flow& flow, mono_time now) noexcept;
 
 /// When to look at a segment again that is sent at `now` for the `flow.attempts + 1`th time: the next
-/// retransmission or the end of `flow.answer_limit`. Counted from `now`, so that a late sender makes no burst.
+/// retransmission or the end of `flow.answer_limit`. Counted from `now`, so that a late sender makes no
+/// burst.
 [[nodiscard]] mono_time next_retransmission(const caller_flow& flow, mono_time now) noexcept;
 
 /// Breaks a flow whose segment has waited for `flow.answer_limit`. Returns whether it did.
