--- a/scripts/experiments/fleet.py
+++ b/scripts/experiments/fleet.py
@@ -266,11 +266,22 @@
         self.start_platform()
         self.start_hosts()
         self.start_entries()
+        self.wait_until(lambda: all(self.knows_fleet(entry) for entry in self.entries),
+                        "configuration and membership")
         if flows:
             self.start_flow_load()
         if requests:
             self.start_request_load()
 
+    def knows_fleet(self, entry):
+        """Whether an entry VM has a configuration and sees all others."""
+        try:
+            counters = web.get(entry.url("/v1/counters"), timeout_s=1.0)
+        except web.CallFailed:
+            return False
+        return counters.get("config_revision", 0) >= 1 and \
+            counters.get("members_live", 0) >= len(self.entries)
+
     @staticmethod
     def answers(url):
         try:
