--- a/apps/standin_platform/platform_server.cpp
+++ b/apps/standin_platform/platform_server.cpp
@@ -161,10 +161,9 @@
     add_platform_route("DELETE", kv_path, "delete",
                        [this](const http_request& request) { return remove(request); });
     add_platform_route("GET", "/v1/list", "list", [this](const http_request& request) {
-        const auto prefix = request.query.find("prefix");
+        const auto prefix = request.query.at("prefix");
         json keys = json::array();
-        for (const auto& [key, revision] :
-             store_.list(prefix == request.query.end() ? "" : prefix->second, clock_now())) {
+        for (const auto& [key, revision] : store_.list(prefix, clock_now())) {
             keys.push_back({{"key", key}, {"revision", revision}});
         }
         return ok_response({{"keys", std::move(keys)}});
--- a/libs/config/src/spread.cpp
+++ b/libs/config/src/spread.cpp
@@ -234,7 +234,7 @@
     current.start_due_pull();
     current.start_due_load();
     current.start_due_watch();
-    return std::move(current.effects);
+    return current.effects;
 }
 
 bool is_watcher(const spread_state& state) {
--- a/libs/membership/include/guavaramp/membership/control_message.hpp
+++ b/libs/membership/include/guavaramp/membership/control_message.hpp
@@ -15,10 +15,11 @@
     ack,           ///< answers a ping, or relays the answer to a ping request
     ping_request,  ///< asks the receiver to ping `subject` and to relay the ack
     push,          ///< news of members or of a configuration revision, without an answer
-    sync_request   ///< asks for the whole member list, which comes as pushes
+    sync_request,  ///< asks for the whole member list
+    sync           ///< a part of the whole member list; its news are not passed on
 };
 
-inline constexpr std::size_t message_kinds = 5;
+inline constexpr std::size_t message_kinds = 6;
 
 /// Text form, used as a counter's label. Thread-safe.
 [[nodiscard]] const char* to_string(message_kind kind) noexcept;
--- a/libs/membership/src/control_message.cpp
+++ b/libs/membership/src/control_message.cpp
@@ -100,8 +100,8 @@
 }  // namespace
 
 const char* to_string(message_kind kind) noexcept {
-    constexpr std::array<const char*, message_kinds> names{"ping", "ack", "ping_request", "push",
-                                                           "sync_request"};
+    constexpr std::array<const char*, message_kinds> names{"ping", "ack",          "ping_request",
+                                                           "push", "sync_request", "sync"};
     return names[static_cast<std::size_t>(kind)];
 }
 
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -12,8 +12,10 @@
 using pending_ping = membership_state::pending_ping;
 
 constexpr std::size_t push_peers_own_domain = 4;
-// An update reaches all n members with high probability after 3 log2(n) sends by each (SWIM section 4.1).
-constexpr double sends_per_doubling = 3.0;
+// SWIM (section 4.1) sends an update 3 log2(n) times; pushes do most of the spreading here, and pings repair.
+constexpr double sends_per_doubling = 2.0;
+// Bounds a ping to about 400 bytes, so that a start of the whole fleet does not exceed the control budget.
+constexpr std::size_t max_piggybacked = 6;
 constexpr auto confirm_time = milliseconds{10'000};
 constexpr auto confirm_retry = milliseconds{500};
 // Confirmation pings of one tick (50 ms): 530 members are asked within 1.4 s.
@@ -69,9 +71,9 @@
     void resume();
     void forget_old();
 
-    void merge(const member& update);
+    void merge(const member& update, bool passes_on);
     void merge_self(const member& update);
-    void add_peer(const member& update);
+    void add_peer(const member& update, bool passes_on);
     void spread(peer& changed, bool urgent);
     void handle_ack(const control_message& message);
     void send_all(const ip_address& to);
@@ -92,7 +94,7 @@
     const auto add = [&message](const member& record) {
         const bool present = std::any_of(message.updates.begin(), message.updates.end(),
                                          [&](const member& item) { return item.address == record.address; });
-        if (!present && message.updates.size() < max_updates) {
+        if (!present && message.updates.size() < max_piggybacked) {
             message.updates.push_back(record);
             return true;
         }
@@ -371,7 +373,7 @@
     effects.members_changed = true;
 }
 
-void step::add_peer(const member& update) {
+void step::add_peer(const member& update, bool passes_on) {
     auto& added = state.peers[update.address];
     added.known = update;
     added.changed_at = now;
@@ -380,10 +382,13 @@
     }
     effects.changes.push_back(
         {.address = update.address, .before = member_state::dead, .after = update.state});
-    spread(added, true);
+    effects.members_changed = true;
+    if (passes_on) {
+        spread(added, true);
+    }
 }
 
-void step::merge(const member& update) {
+void step::merge(const member& update, bool passes_on) {
     if (update.address == state.self.address) {
         merge_self(update);
         return;
@@ -391,7 +396,7 @@
     const auto found = state.peers.find(update.address);
     if (found == state.peers.end()) {
         if (update.state != member_state::dead) {
-            add_peer(update);
+            add_peer(update, passes_on);
         }
         return;
     }
@@ -409,6 +414,7 @@
     }
     const auto before = known.state;
     const bool restarted = update.incarnation > known.incarnation;
+    const bool first_contact = known.incarnation == 0;
     const auto revision = restarted ? update.revision : std::max(update.revision, known.revision);
     known = update;
     known.revision = revision;
@@ -418,6 +424,10 @@
     }
     known.state = before;
     declare(found->second, update.state);
+    if (first_contact && !passes_on) {
+        found->second.sends_left = 0;
+        found->second.urgent = false;
+    }
 }
 
 void step::send_all(const ip_address& to) {
@@ -425,7 +435,7 @@
     const auto flush = [&] {
         if (!chunk.empty()) {
             effects.messages.push_back(
-                {.to = to, .message = {.kind = message_kind::push, .sender = state.self, .updates = chunk}});
+                {.to = to, .message = {.kind = message_kind::sync, .sender = state.self, .updates = chunk}});
             chunk.clear();
         }
     };
@@ -468,9 +478,9 @@
     }
     const auto known = state.peers.find(from);
     const bool appeared = known == state.peers.end() || known->second.known.state == member_state::dead;
-    merge(message.sender);
+    merge(message.sender, true);
     for (const auto& update : message.updates) {
-        merge(update);
+        merge(update, message.kind != message_kind::sync);
     }
     effects.heard.push_back({.from = from, .revision = message.sender.revision});
     switch (message.kind) {
@@ -484,6 +494,7 @@
             send_ping(message.subject, {.requested_by = from, .requester_number = message.number});
             break;
         case message_kind::push:
+        case message_kind::sync:
             break;
         case message_kind::sync_request:
             state.push_to.insert(from);
--- a/libs/net/include/guavaramp/net/http.hpp
+++ b/libs/net/include/guavaramp/net/http.hpp
@@ -61,6 +61,9 @@
     std::map<std::string, std::string> headers;
     mono_time deadline{};
     std::string ca_file;  ///< PEM trust anchor for https URLs; empty means the system's
+    /// Send the request at most once, on a connection of its own. Otherwise libcurl sends any request again
+    /// when a reused connection closes before the answer, although the peer may have acted on the first one.
+    bool send_once{false};
 };
 
 /// The result of a call. `sent_request` tells whether a byte of the request may have reached the peer: false
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -54,6 +54,7 @@
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &active);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &active);
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, active.call.send_once ? 1L : 0L);
     if (!interface.empty()) {
         curl_easy_setopt(easy, CURLOPT_INTERFACE, interface.c_str());
     }
@@ -131,8 +132,8 @@
 namespace {
 
 // libcurl counts request bytes per transfer; on a reused connection that broke, a retry on a new one starts
-// at 0 again, so this is an upper bound for the last connection only. CURLOPT_FRESH_CONNECT is not needed
-// because libcurl retries only when no byte of the answer came on a reused connection.
+// at 0 again, so this is an upper bound for the last connection only. `http_call::send_once` rules out that
+// retry.
 bool may_have_sent(CURL* easy) {
     long request_size = 0;
     curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_size);
--- a/libs/platform/src/http_key_value_store.cpp
+++ b/libs/platform/src/http_key_value_store.cpp
@@ -38,12 +38,12 @@
     return alphanumeric || letter == '/' || letter == '-' || letter == '_' || letter == '.';
 }
 
-/// Percent-encodes a key for a URL path or query; "/" stays as it is (RFC 3986 section 2.1).
-std::string encode(const std::string& text) {
+/// Percent-encodes a key for a URL path, where "/" stays as it is, or for a query (RFC 3986 section 2.1).
+std::string encode(const std::string& text, bool keep_slash = true) {
     constexpr std::string_view digits = "0123456789ABCDEF";
     std::string encoded;
     for (const char letter : text) {
-        if (is_safe_in_path(letter)) {
+        if (is_safe_in_path(letter) && (keep_slash || letter != '/')) {
             encoded += letter;
             continue;
         }
@@ -158,7 +158,8 @@
         client_.start({.method = wanted.method,
                        .url = options_.base_url + wanted.path,
                        .body = wanted.body,
-                       .deadline = ends},
+                       .deadline = ends,
+                       .send_once = wanted.writes},
                       [promise](http_outcome outcome) { promise->set_value(std::move(outcome)); });
     {
         const std::lock_guard lock{mutex_};
@@ -284,9 +285,9 @@
 
 result<std::vector<std::pair<std::string, std::uint64_t>>> http_key_value_store::list(
     const std::string& prefix, mono_time deadline) {
-    auto response =
-        call({.kind = platform_call::list, .method = "GET", .path = "/v1/list?prefix=" + encode(prefix)},
-             deadline);
+    auto response = call(
+        {.kind = platform_call::list, .method = "GET", .path = "/v1/list?prefix=" + encode(prefix, false)},
+        deadline);
     if (!response) {
         return tl::make_unexpected(response.error());
     }
