--- a/libs/config/tests/commit_test.cpp
+++ b/libs/config/tests/commit_test.cpp
@@ -189,13 +189,13 @@
         const auto value = stored(store);
         if (own) {
             RC_ASSERT(holds(value, "own"));
-            RC_ASSERT(!own->accepted || own->accepted->head.revision != value.head.revision ||
-                      *own->accepted == value);
+            RC_ASSERT((!own->accepted || own->accepted->head.revision != value.head.revision ||
+                       *own->accepted == value));
         } else if (own.error().kind != error_kind::outcome_unknown) {
             RC_ASSERT_FALSE(holds(value, "own"));
         }
         for (const auto& [id, accepted] : others) {
-            RC_ASSERT(!accepted || holds(value, id));
+            RC_ASSERT((!accepted || holds(value, id)));
         }
         for (const auto& [unused, count] : store.writes) {
             RC_ASSERT(count == 1U);
