Fix a crash of the daemon in 'show counters' and name listed entry VMs that did not report

The counters were read from a JSON value that had ended. An exception in an answer is now an answer of kind internal; it ended the daemon before.

--- a/apps/entry/query_service.cpp
+++ b/apps/entry/query_service.cpp
@@ -109,6 +109,7 @@
 std::vector<member> in_rendezvous_order(const std::vector<member>& members, std::uint64_t item,
                                         std::size_t count) {
     std::vector<rendezvous_node> nodes;
+    nodes.reserve(members.size());
     for (const auto& value : members) {
         nodes.push_back({.key = member_key(value)});
     }
@@ -167,6 +168,16 @@
     gathered_flows flows;
 };
 
+/// Turns an exception into an answer of kind `internal`.
+template <typename Answer>
+query_answer guarded(Answer answer) {
+    try {
+        return answer();
+    } catch (const std::exception& failure) {
+        return {.failure = error_kind::internal, .message = failure.what()};
+    }
+}
+
 void merge(gathered_flows& into, gathered_flows from) {
     into.flows.insert(into.flows.end(), from.flows.begin(), from.flows.end());
     into.replied.insert(into.replied.end(), from.replied.begin(), from.replied.end());
@@ -184,7 +195,7 @@
       ended_(ended_ring_size),
       broken_(broken_ring_size),
       history_({}, wall_now()),
-      changes_(change_history_size),
+      changes_(change_history_size, wall_now()),
       lost_records_(context.counters.get("flow_records_lost_total",
                                          "Records of ended flows dropped because the ring was full")),
       lost_copies_(context.counters.get("flow_record_copies_lost_total",
@@ -257,7 +268,8 @@
     trace_span span{traces_, "command", parent};
     commands_.add();
     take_ended();
-    const auto answer = evaluate(command, make_source(span.context()), options);
+    // A fault in an answer must not end the daemon, which forwards packets.
+    const auto answer = guarded([&] { return evaluate(command, make_source(span.context()), options); });
     span.set_tag("outcome", answer.failure ? std::string{answer_for(*answer.failure).name} : "ok");
     return to_response(answer);
 }
@@ -275,8 +287,9 @@
             },
         .counters =
             [this] {
+                const auto all = json::parse(context_.counters.to_json());
                 std::vector<counter_value> values;
-                for (const auto& [name, value] : json::parse(context_.counters.to_json()).items()) {
+                for (const auto& [name, value] : all.items()) {
                     values.push_back({.name = name, .value = value.get<std::uint64_t>()});
                 }
                 return values;
@@ -314,7 +327,11 @@
     const auto parent = parse_trace_context(header(request, trace_header));
     const bool queued = peer_tasks_.start([this, body = request.body, parent, respond] {
         trace_span span{traces_, "answer_peer", parent};
-        respond(answer_question(body));
+        try {
+            respond(answer_question(body));
+        } catch (const std::exception& failure) {
+            respond(error_response({.kind = error_kind::internal, .message = failure.what()}));
+        }
     });
     if (!queued) {
         respond(error_response({.kind = error_kind::overloaded, .message = "too many questions wait"}));
@@ -431,7 +448,7 @@
 }
 
 std::vector<member> query_service::candidates_of(const flow_key& flow) const {
-    const auto all = others();
+    auto all = others();
     if (all.size() <= ask_all_up_to) {
         return all;
     }
@@ -588,7 +605,8 @@
               {{"change", outcome.committed.summary}, {"change_id", outcome.committed.change_id}});
     announce(outcome.committed);
     if (options.wait) {
-        wait_in_force(outcome);
+        const auto listed = dependencies_.store->vms(deadline);
+        wait_in_force(outcome, listed ? *listed : std::vector<listed_vm>{});
     }
     return outcome;
 }
@@ -634,14 +652,15 @@
     return dependencies_.is_blocked && dependencies_.is_blocked(address);
 }
 
-void query_service::wait_in_force(change_outcome& outcome) const {
+void query_service::wait_in_force(change_outcome& outcome, const std::vector<listed_vm>& listed) const {
     const auto deadline = std::chrono::steady_clock::now() + in_force_deadline;
     outcome.waited = true;
     while (true) {
         outcome.confirmed.clear();
         outcome.missing.clear();
         outcome.unreachable.clear();
-        for (const auto& value : entries().members) {
+        const auto members = entries().members;
+        for (const auto& value : members) {
             if (value.revision >= outcome.committed.revision) {
                 outcome.confirmed.push_back(to_string(value.address));
             } else if (value.state == member_state::dead) {
@@ -650,6 +669,16 @@
                 outcome.missing.push_back(to_string(value.address));
             }
         }
+        // An entry VM of the VM list that membership has not met yet is named like one that cannot be
+        // reached.
+        for (const auto& vm : listed) {
+            const bool known = std::any_of(members.begin(), members.end(), [&vm](const member& value) {
+                return to_string(value.address) == vm.address;
+            });
+            if (!known && !vm.leaving) {
+                outcome.unreachable.push_back(vm.address);
+            }
+        }
         if (outcome.missing.empty() || stopping_ || std::chrono::steady_clock::now() >= deadline) {
             return;
         }
@@ -716,7 +745,7 @@
         copies.swap(unsent_);
     }
     std::map<ip_address, std::pair<member, std::vector<broken_copy>>> batches;
-    for (auto& copy : copies) {
+    for (const auto& copy : copies) {
         const auto keeper = keeper_of(copy);
         if (!keeper) {
             lost_copies_.add();
@@ -724,7 +753,7 @@
         }
         auto& batch = batches[keeper->address];
         batch.first = *keeper;
-        batch.second.push_back(std::move(copy));
+        batch.second.push_back(copy);
         if (batch.second.size() == most_copies_a_batch) {
             send_batch(batch.first, std::move(batch.second));
             batch.second.clear();
@@ -749,7 +778,7 @@
     const std::lock_guard lock{broken_mutex_};
     for (auto& copy : batch) {
         if (++copy.attempt < copy_attempts) {
-            unsent_.push_back(std::move(copy));
+            unsent_.push_back(copy);
         } else {
             lost_copies_.add();
         }
--- a/apps/entry/query_service.hpp
+++ b/apps/entry/query_service.hpp
@@ -84,7 +84,7 @@
     void announce(committed_change& committed) const;
     void collect_revisions(const std::vector<listed_vm>& listed) const;
     [[nodiscard]] bool is_blocked(const ip_address& address) const;
-    void wait_in_force(change_outcome& outcome) const;
+    void wait_in_force(change_outcome& outcome, const std::vector<listed_vm>& listed) const;
 
     void run_records();
     void take_ended();
--- a/libs/config/src/change.cpp
+++ b/libs/config/src/change.cpp
@@ -1,4 +1,5 @@
 #include <guavaramp/base/nearest_word.hpp>
+#include <guavaramp/base/overloaded.hpp>
 #include <guavaramp/config/change.hpp>
 
 #include <algorithm>
@@ -9,11 +10,6 @@
 namespace guavaramp {
 namespace {
 
-template <typename... Functions>
-struct overloaded : Functions... {
-    using Functions::operator()...;
-};
-
 constexpr std::size_t longest_name = 63;
 
 std::string quoted(const std::string& text) { return "'" + text + "'"; }
--- a/libs/record/include/guavaramp/record/history.hpp
+++ b/libs/record/include/guavaramp/record/history.hpp
@@ -130,10 +130,10 @@
 /// The newest accepted changes, at most `limit`. Not thread-safe.
 class change_history {
 public:
-    explicit change_history(std::size_t limit) : limit_(limit) {}
+    change_history(std::size_t limit, wall_time started) : limit_(limit), started_(started) {}
 
-    /// Takes over the changes of a head that has come into force. The first head tells of changes from before
-    /// the daemon's start; these have no time of coming into force.
+    /// Takes over the changes of a head that has come into force. Changes from before the daemon's start have
+    /// no time of coming into force.
     void observe(const config_head& head, wall_time now);
 
     /// Changes that were accepted at or after `since`, oldest first.
@@ -144,6 +144,7 @@
 
 private:
     std::size_t limit_;
+    wall_time started_;
     bool observed_{false};
     bool gap_{false};
     config_revision seen_{0};
--- a/libs/record/src/evaluate.cpp
+++ b/libs/record/src/evaluate.cpp
@@ -128,8 +128,9 @@
 }
 
 query_answer run(const evaluation& work, const show_entries_statement&) {
-    query_answer answer{.message = "as this entry VM sees them; configuration revision " +
-                                   number(work.config->revision()) + " is in force here",
+    const config_revision revision = work.config ? work.config->revision() : config_revision{0};
+    query_answer answer{.message = "as this entry VM sees them; configuration revision " + number(revision) +
+                                   " is in force here",
                         .columns = {"entry", "failure domain", "region", "state", "started", "revision"}};
     for (const auto& item : work.source.entries().members) {
         answer.rows.push_back({to_string(item.address), item.failure_domain, item.region,
@@ -344,7 +345,7 @@
         to_string(record.flow) + " of " + service_text(work, record.service) + " is " + explain(record.end);
     text += record.ended_at ? " at " + to_rfc3339(*record.ended_at) : "";
     text += "; upstream " + upstream_text(work, record.upstream) + ", " + explain(record.reason) +
-            " at revision " + number(record.revision) + ", as " + seen.entry + " recorded";
+            " at revision " + number(record.revision) + ", according to " + seen.entry;
     return text;
 }
 
@@ -510,6 +511,13 @@
     return run_change(work, statement.command);
 }
 
+bool needs_configuration(const statement& value) noexcept {
+    return !is_change(value) && !std::holds_alternative<help_statement>(value) &&
+           !std::holds_alternative<show_entries_statement>(value) &&
+           !std::holds_alternative<show_changes_statement>(value) &&
+           !std::holds_alternative<show_counters_statement>(value);
+}
+
 }  // namespace
 
 query_answer evaluate(std::string_view command, const query_source& source, const change_options& options) {
@@ -521,8 +529,7 @@
                 .length = parsed.error().length};
     }
     evaluation work{.command = command, .source = source, .options = options, .config = source.config()};
-    const bool needs_config = !is_change(*parsed) && !std::holds_alternative<help_statement>(*parsed);
-    if (needs_config && !work.config) {
+    if (!work.config && needs_configuration(*parsed)) {
         return {.failure = error_kind::unavailable, .message = "this entry VM has no configuration yet"};
     }
     return std::visit([&work](const auto& item) { return run(work, item); }, *parsed);
--- a/libs/record/src/history.cpp
+++ b/libs/record/src/history.cpp
@@ -156,8 +156,9 @@
     gap_ = gap_ || (observed_ && forgot);
     for (const auto& change : head.recent_changes) {
         if (change.revision > seen_) {
+            const bool since_start = observed_ || change.accepted_at >= started_;
             changes_.push_back(
-                {.change = change, .in_force_at = observed_ ? std::optional{now} : std::nullopt});
+                {.change = change, .in_force_at = since_start ? std::optional{now} : std::nullopt});
         }
     }
     while (changes_.size() > limit_) {
--- a/libs/record/src/language.cpp
+++ b/libs/record/src/language.cpp
@@ -1,4 +1,5 @@
 #include <guavaramp/base/nearest_word.hpp>
+#include <guavaramp/base/overloaded.hpp>
 #include <guavaramp/record/language.hpp>
 
 #include <nlohmann/json.hpp>
@@ -9,11 +10,6 @@
 namespace guavaramp {
 namespace {
 
-template <typename... Functions>
-struct overloaded : Functions... {
-    using Functions::operator()...;
-};
-
 struct word {
     std::string_view text;
     std::size_t position{0};
@@ -85,7 +81,7 @@
             kind_ = kind;
             fail_here("expected " + what);
         }
-        const std::string taken{words_[next_].text};
+        std::string taken{words_[next_].text};
         advance();
         return taken;
     }
--- a/libs/record/tests/history_test.cpp
+++ b/libs/record/tests/history_test.cpp
@@ -89,13 +89,14 @@
         }
         return head;
     };
-    change_history history{100};
+    change_history history{100, from_unix_ms(3000)};
     history.observe(head_with(1, 3), from_unix_ms(9000));
     history.observe(head_with(1, 5), from_unix_ms(9500));
     history.observe(head_with(1, 4), from_unix_ms(9600));
     const auto all = history.since(from_unix_ms(2000));
     REQUIRE(all.size() == 4);
     CHECK_FALSE(all[0].in_force_at.has_value());
+    CHECK(all[1].in_force_at == from_unix_ms(9000));
     CHECK(all[3].in_force_at == from_unix_ms(9500));
     CHECK(history.complete_since(wall_time{}));
     history.observe(head_with(50, 50 + max_recent_changes - 1), from_unix_ms(99'000));
