--- a/libs/config/src/commit.cpp
+++ b/libs/config/src/commit.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds retry_pause{20};
+// A call whose answer is lost ends well before the whole change's deadline, so that time is left to read
+// back. The platform answers in milliseconds.
+constexpr std::chrono::milliseconds write_timeout{1000};
 
 std::string number_text(config_revision revision) {
     return std::to_string(static_cast<std::uint64_t>(revision));
@@ -81,6 +84,7 @@
     bool head_swap_unresolved{false};  ///< a head swap was sent whose effect is not known
 
     [[nodiscard]] bool time_left() const { return clock.now() + retry_pause < deadline; }
+    [[nodiscard]] mono_time write_deadline() const { return std::min(deadline, clock.now() + write_timeout); }
 };
 
 enum class write_state { written, taken_by_another, unresolved };
@@ -89,7 +93,7 @@
 result<write_state> write_value(commit& work, const service& value) {
     const std::string key = service_key(value.name, value.revision);
     const std::string text = to_json(value).dump();
-    const auto put = work.store.put(key, text, 0, work.deadline);
+    const auto put = work.store.put(key, text, 0, work.write_deadline());
     if (put) {
         return write_state::written;
     }
@@ -221,7 +225,7 @@
 result<std::optional<committed_change>> swap_head(commit& work, const attempt& made) {
     const std::string text = to_json(made.planned.head).dump();
     while (true) {
-        const auto put = work.store.put(head_key, text, made.base.store_revision, work.deadline);
+        const auto put = work.store.put(head_key, text, made.base.store_revision, work.write_deadline());
         if (put) {
             auto change = accepted(made.planned.head, work.facts.change_id);
             change.accepted = configuration_after(made);
