Keep queues to what the recent send rate reaches, and refusals rare

Queues of 256 held callers for a second in a flood and cost them sockets; the limit swung between refusals. Raise the limit only on answers that did not wait at the host, lower it on those that did, drop what the send rate of the last seconds would not reach in half a second.

--- a/libs/admission/include/guavaramp/admission/admission.hpp
+++ b/libs/admission/include/guavaramp/admission/admission.hpp
@@ -21,9 +21,11 @@
 struct admission_options {
     bool enabled{true};           ///< false: no limits, no classes, first in first out, hosts queue
     double slots_per_host{2.0};   ///< what the fleet's hosts are documented to have
-    double least_share{0.08};     ///< of a host's slots for each lower class while a higher one is active
+    double least_share{0.10};     ///< of a host's slots for each lower class while a higher one is active
     double target_use{0.4};       ///< lower classes fill a host up to this use beside a higher class
+    std::size_t least_queue{8};   ///< requests for each service and class that are always kept
     std::size_t max_queue{256};   ///< requests for each service and class
+    double queue_s{0.5};          ///< of sending at the recent rate that a queue may hold
     double overload_wait_s{0.1};  ///< queue time of the oldest request that switches to newest first
     double max_wait_s{1.0};       ///< a request that waited this long is given up
     std::int64_t retry_after_ms{500};  ///< lower bound; the answer adds jitter of the same length
@@ -131,12 +133,20 @@
         mono_time use_updated{};
     };
 
+    /// Requests sent lately, each counting less the longer ago it was sent.
+    struct send_rate {
+        double recent{0.0};
+        mono_time updated{};
+    };
+
     struct service_state {
         std::vector<admission_upstream> upstreams;
         std::array<std::deque<waiting>, work_class_count> queues;
+        std::array<send_rate, work_class_count> rates;
         retry_budget retries;
     };
 
+    void trim(service_state& service, std::size_t urgency, mono_time now);
     void reject(const waiting& item, rejection reason);
     void expire(service_state& service, mono_time now);
     bool send_next(service_state& service, std::size_t urgency, mono_time now);
--- a/libs/admission/include/guavaramp/admission/host_limit.hpp
+++ b/libs/admission/include/guavaramp/admission/host_limit.hpp
@@ -10,10 +10,11 @@
     double least{0.11};              ///< refusals never push the limit below this
     double most{64.0};               ///< bounds the work that a daemon holds at one host
     double refusal_factor{0.7};      ///< applied to the limit at a refusal
-    double latency_factor{0.9};      ///< applied when answers are slower than `latency_tolerance`
-    double latency_tolerance{2.5};   ///< allowed ratio of recent latency to the base latency
-    double step_per_quiet_s{0.01};   ///< increase for each answer, per second since the last refusal
-    double least_step{0.005};        ///< keeps the limit moving while refusals are frequent
+    double idle_ratio{1.2};          ///< of latency to service time; faster answers did not wait at the host
+    double waited_ratio{2.0};        ///< slower answers waited at the host
+    double waited_factor{0.95};      ///< applied to the limit at an answer that waited
+    double step_per_quiet_s{0.003};  ///< increase for each answer, per second since the last refusal
+    double least_step{0.002};        ///< keeps the limit moving while refusals are frequent
     double most_step{0.2};           ///< bounds the overshoot after a long time without refusals
     double default_latency_s{0.05};  ///< assumed before the first answer
 };
--- a/libs/admission/src/admission.cpp
+++ b/libs/admission/src/admission.cpp
@@ -10,6 +10,7 @@
 // daemon only every few seconds.
 constexpr auto activity_window = std::chrono::seconds{5};
 constexpr double use_time_constant_s = 5.0;
+constexpr double rate_time_constant_s = 2.0;
 constexpr std::size_t most_urgent = 0;
 
 std::size_t index_of(work_class urgency) noexcept { return static_cast<std::size_t>(urgency); }
@@ -18,6 +19,10 @@
     return std::chrono::duration<double>(to - from).count();
 }
 
+double decayed(double value, mono_time since, mono_time now, double time_constant_s) {
+    return value * std::exp(-seconds_between(since, now) / time_constant_s);
+}
+
 mono_time after(mono_time from, double seconds) {
     return from + std::chrono::duration_cast<mono_time::duration>(std::chrono::duration<double>(seconds));
 }
@@ -55,7 +60,6 @@
         reject(item, rejection::no_active_upstream);
         return;
     }
-    record_first_attempt(service.retries);
     auto& queue = service.queues[options_.enabled ? index_of(request.urgency) : most_urgent];
     queue.push_back(item);
     if (!options_.enabled) {
@@ -66,7 +70,21 @@
         queue.pop_back();
         return;
     }
-    if (queue.size() > options_.max_queue) {
+}
+
+// Drops the oldest requests that the recent rate would not reach in time. A caller then learns at once that
+// it was not served, and the flood holds no connections and memory while it waits.
+void admission::trim(service_state& service, std::size_t urgency, mono_time now) {
+    auto& queue = service.queues[urgency];
+    if (queue.size() <= options_.least_queue) {
+        return;
+    }
+    const double sent_per_s =
+        decayed(service.rates[urgency].recent, service.rates[urgency].updated, now, rate_time_constant_s) /
+        rate_time_constant_s;
+    const auto reachable = static_cast<std::size_t>(sent_per_s * options_.queue_s);
+    const std::size_t most = std::clamp(reachable, options_.least_queue, options_.max_queue);
+    while (queue.size() > most) {
         reject(queue.front(), rejection::overloaded);
         queue.pop_front();
     }
@@ -143,6 +161,7 @@
             for (auto& [id, service] : services_) {
                 while (send_next(service, urgency, now)) {
                 }
+                trim(service, urgency, now);
             }
         }
     }
@@ -182,6 +201,12 @@
     } else {
         queue.pop_front();
     }
+    if (item.avoid == no_upstream) {
+        record_first_attempt(service.retries);
+    }
+    auto& rate = service.rates[urgency];
+    rate.recent = decayed(rate.recent, rate.updated, now, rate_time_constant_s) + 1.0;
+    rate.updated = now;
     send(item, *target, now);
     return true;
 }
@@ -202,6 +227,9 @@
     auto& queue = service.queues[most_urgent];
     while (!queue.empty() && !service.upstreams.empty()) {
         const auto pick = static_cast<std::size_t>(random() * static_cast<double>(service.upstreams.size()));
+        if (queue.front().avoid == no_upstream) {
+            record_first_attempt(service.retries);
+        }
         send(queue.front(), service.upstreams[pick], now);
         queue.pop_front();
     }
@@ -265,8 +293,7 @@
     auto& credit = host.credit[urgency];
     const double elapsed_s = seconds_between(credit.refilled, now);
     credit.refilled = now;
-    const double decay = std::exp(-seconds_between(host.use_updated, now) / use_time_constant_s);
-    const double use = host.higher_use * decay;
+    const double use = decayed(host.higher_use, host.use_updated, now, use_time_constant_s);
     const double rate = std::max(options_.least_share * share_, options_.target_use * share_ - use);
     const double most = service_time_s(host.limit, options_.limit);
     credit.seconds = std::min(most, credit.seconds + elapsed_s * rate);
@@ -280,8 +307,8 @@
         host.credit[urgency].seconds = std::max(least, host.credit[urgency].seconds - seconds);
         return;
     }
-    const double decay = std::exp(-seconds_between(host.use_updated, now) / use_time_constant_s);
-    host.higher_use = std::max(0.0, host.higher_use * decay + seconds / use_time_constant_s);
+    const double use = decayed(host.higher_use, host.use_updated, now, use_time_constant_s);
+    host.higher_use = std::max(0.0, use + seconds / use_time_constant_s);
     host.use_updated = now;
 }
 
--- a/libs/admission/src/host_limit.cpp
+++ b/libs/admission/src/host_limit.cpp
@@ -22,15 +22,11 @@
     }
 }
 
-/// Closes a batch of latencies; returns whether its mean exceeds the tolerance.
-bool close_batch(host_limit& host, const host_limit_options& options) noexcept {
+void close_batch(host_limit& host) noexcept {
     const double mean = host.batch_sum_s / host.batch_count;
     host.batch_sum_s = 0.0;
     host.batch_count = 0;
-    const double drifted = host.base_latency_s * base_drift;
-    const bool slow = mean > options.latency_tolerance * host.base_latency_s;
-    host.base_latency_s = std::min(mean, drifted);
-    return slow;
+    host.base_latency_s = std::min(mean, host.base_latency_s * base_drift);
 }
 
 void raise(host_limit& host, const host_limit_options& options, mono_time now) noexcept {
@@ -70,10 +66,13 @@
     }
     host.batch_sum_s += latency_s;
     ++host.batch_count;
-    const bool slow = host.batch_count >= batch_size && close_batch(host, options);
-    if (slow) {
-        host.limit = std::max(std::min(host.limit, options.initial), host.limit * options.latency_factor);
-    } else if (host.wanted) {
+    if (host.batch_count >= batch_size) {
+        close_batch(host);
+    }
+    const double ratio = latency_s / host.base_latency_s;
+    if (ratio > options.waited_ratio) {
+        host.limit = std::max(options.least, host.limit * options.waited_factor);
+    } else if (host.wanted && ratio <= options.idle_ratio) {
         raise(host, options, now);
     }
     release(host, options, now);
