--- a/libs/record/src/language.cpp
+++ b/libs/record/src/language.cpp
@@ -81,7 +81,7 @@
             kind_ = kind;
             fail_here("expected " + what);
         }
-        const std::string taken{words_[next_].text};
+        std::string taken{words_[next_].text};
         advance();
         return taken;
     }
