--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -9,7 +9,7 @@
 
 from experiments import web  # noqa: E402
 from experiments.fleet import (BIN, LEAVE_AFTER_MS, OPERATOR_KEY, SERVICES, STOP_TIMEOUT_S, Fleet,
-                               MissingPart)  # noqa: E402
+                               MissingPart, lock_addresses)  # noqa: E402
 
 TIME_LIMIT_S = 55
 
@@ -90,6 +90,7 @@
 def main():
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
         signal.signal(number, on_signal)
+    lock = lock_addresses()
     signal.alarm(TIME_LIMIT_S)
     try:
         with Fleet(1, entries_by_domain=[3], dispatch_hosts=2, records_hosts=2, spare_hosts=0) as fleet:
@@ -97,6 +98,8 @@
     except (MissingPart, web.CallFailed) as failure:
         print(f"scripts/demo: {failure}", file=sys.stderr)
         return 1
+    finally:
+        lock.close()
 
 
 if __name__ == "__main__":
--- a/scripts/experiments/fleet.py
+++ b/scripts/experiments/fleet.py
@@ -1,4 +1,5 @@
 """Starts the processes of an experiment on loopback and ends them by their ids."""
+import fcntl
 import json
 import os
 import signal
@@ -416,6 +417,18 @@
 REQUEST_SIDE = request_side_built()
 
 
+def lock_addresses():
+    """Waits until no other run on this machine uses the loopback addresses. The lock ends with the process;
+    keep the returned file open."""
+    lock = open(os.path.join(tempfile.gettempdir(), "guavaramp-loopback.lock"), "w")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        note("another run uses the addresses; waiting for its end")
+        fcntl.flock(lock, fcntl.LOCK_EX)
+    return lock
+
+
 def note(text):
     """Progress on standard error; standard output ends with the JSON object."""
     print(text, file=sys.stderr, flush=True)
