--- a/apps/ctl/session.cpp
+++ b/apps/ctl/session.cpp
@@ -34,7 +34,9 @@
 char** complete(const char* text, int /*start*/, int end) {
     rl_attempted_completion_over = 1;
     const std::string line{rl_line_buffer, static_cast<std::size_t>(end)};
-    candidates = complete_statement(line, completing->names());
+    candidates = complete_statement(line, completing->names_for(line));
+    const bool unfinished = candidates.size() == 1 && candidates.front().ends_with('/');
+    rl_completion_append_character = unfinished ? '\0' : ' ';
     return rl_completion_matches(text, next_candidate);
 }
 
@@ -134,31 +136,54 @@
     print(answer, command);
     const auto parsed = parse_statement(command);
     if (parsed && is_change(*parsed)) {
-        names_read_ = false;
+        services_read_ = false;
     }
     return answer.failure ? answer_for(*answer.failure).exit_status : 0;
 }
 
-const completion_names& ctl_session::names() {
-    if (names_read_) {
-        return names_;
-    }
-    names_read_ = true;
+void ctl_session::read_services() {
     names_ = {};
+    upstreams_read_of_.clear();
+    services_read_ = true;
     const auto services = ask("show services");
-    if (!services || services->failure) {
-        return names_;
+    if (!services) {
+        return;
     }
     for (const auto& row : services->rows) {
         names_.services.push_back(row.front());
-        const auto upstreams = ask("show upstreams of " + row.front());
-        if (!upstreams) {
-            continue;
-        }
-        for (const auto& host : upstreams->rows) {
-            names_.upstreams.push_back(row.front() + "/" + host.front());
+    }
+}
+
+void ctl_session::read_upstreams(const std::string& service) {
+    names_.upstreams.clear();
+    upstreams_read_of_ = service;
+    for (const auto& name : names_.services) {
+        if (name != service) {
+            names_.upstreams.push_back(name + "/");
         }
     }
+    if (service.empty()) {
+        return;
+    }
+    const auto upstreams = ask("show upstreams of " + service);
+    if (!upstreams) {
+        return;
+    }
+    for (const auto& row : upstreams->rows) {
+        names_.upstreams.push_back(service + "/" + row.front());
+    }
+}
+
+const completion_names& ctl_session::names_for(const std::string& line) {
+    if (!services_read_) {
+        read_services();
+    }
+    const std::string word = line.substr(line.find_last_of(" \t") + 1);
+    const auto slash = word.find('/');
+    const std::string service = slash == std::string::npos ? "" : word.substr(0, slash);
+    if (names_.upstreams.empty() || service != upstreams_read_of_) {
+        read_upstreams(service);
+    }
     return names_;
 }
 
--- a/apps/ctl/session.hpp
+++ b/apps/ctl/session.hpp
@@ -34,17 +34,21 @@
     /// Reads commands from the terminal or standard input until its end. Returns the last exit status.
     int run_interactive();
 
-    /// Names for completion; read once from the entry VM and again after a change.
-    [[nodiscard]] const completion_names& names();
+    /// Names for completion of `line`. Services are read once and again after a change; upstreams are read
+    /// for the service that the last word names, those of others appear as "service/".
+    [[nodiscard]] const completion_names& names_for(const std::string& line);
 
 private:
     [[nodiscard]] http_call make_call(const std::string& entry, const std::string& command) const;
+    void read_services();
+    void read_upstreams(const std::string& service);
     void print(const query_answer& answer, const std::string& command) const;
 
     ctl_options options_;
     http_client client_;
     completion_names names_;
-    bool names_read_{false};
+    bool services_read_{false};
+    std::string upstreams_read_of_;
 };
 
 }  // namespace guavaramp
--- a/apps/entry/query_service.cpp
+++ b/apps/entry/query_service.cpp
@@ -160,6 +160,17 @@
             {"protocol", to_string(flow.protocol)}};
 }
 
+/// Inverse of `flow_question`; throws json::exception when a key is missing.
+std::optional<flow_key> flow_of_question(const json& question) {
+    const auto caller = parse_endpoint(question.at("caller").get<std::string>());
+    const auto service = parse_endpoint(question.at("service").get<std::string>());
+    const auto protocol = parse_transport(question.at("protocol").get<std::string>());
+    if (!caller || !service || !protocol) {
+        return std::nullopt;
+    }
+    return flow_key{.caller = *caller, .service = *service, .protocol = *protocol};
+}
+
 /// Answers of several peers as they come in.
 struct gathering {
     std::mutex mutex;
@@ -367,56 +378,72 @@
     return {.body = reply_to_json(local).dump()};
 }
 
-gathered_flows query_service::local_answer(const std::string& question_text) {
-    take_ended();
-    const auto question = json::parse(question_text, nullptr, false);
-    gathered_flows out;
+std::vector<flow_record> query_service::records_of_flow(const flow_key& flow) {
+    std::vector<flow_record> records;
+    const auto open = dependencies_.flows.find_flow ? dependencies_.flows.find_flow(flow) : std::nullopt;
+    if (open) {
+        records.push_back(*open);
+    }
+    const std::lock_guard lock{history_mutex_};
+    const auto ended = history_.find(flow);
+    records.insert(records.end(), ended.begin(), ended.end());
+    return records;
+}
+
+std::vector<flow_record> query_service::records_of_service(service_id service, upstream_id upstream,
+                                                           std::size_t limit) {
     std::vector<flow_record> records;
+    if (dependencies_.flows.list_flows) {
+        records = dependencies_.flows.list_flows(service, upstream, limit);
+    }
+    const std::size_t left = limit - std::min(limit, records.size());
+    const std::lock_guard lock{history_mutex_};
+    const auto ended = history_.of_service(service, upstream, left);
+    records.insert(records.end(), ended.begin(), ended.end());
+    return records;
+}
+
+std::optional<std::vector<flow_record>> query_service::records_for(const std::string& question_text) {
+    const auto question = json::parse(question_text, nullptr, false);
     try {
         const auto kind = question.at("question").get<std::string>();
         if (kind == "flow") {
-            const auto caller = parse_endpoint(question.at("caller").get<std::string>());
-            const auto service = parse_endpoint(question.at("service").get<std::string>());
-            const auto protocol = parse_transport(question.at("protocol").get<std::string>());
-            if (!caller || !service || !protocol) {
-                return {};
-            }
-            const flow_key flow{.caller = *caller, .service = *service, .protocol = *protocol};
-            const auto open =
-                dependencies_.flows.find_flow ? dependencies_.flows.find_flow(flow) : std::nullopt;
-            if (open) {
-                records.push_back(*open);
-            }
-            const std::lock_guard lock{history_mutex_};
-            const auto ended = history_.find(flow);
-            records.insert(records.end(), ended.begin(), ended.end());
-        } else if (kind == "service") {
-            const service_id service{question.at("service").get<std::uint32_t>()};
-            const upstream_id upstream{question.at("upstream").get<std::uint32_t>()};
+            const auto flow = flow_of_question(question);
+            return flow ? std::optional{records_of_flow(*flow)} : std::nullopt;
+        }
+        if (kind == "service") {
             const auto limit = std::min(question.at("limit").get<std::size_t>(), most_listed_flows);
-            if (dependencies_.flows.list_flows) {
-                records = dependencies_.flows.list_flows(service, upstream, limit);
-            }
-            const std::lock_guard lock{history_mutex_};
-            const auto ended =
-                history_.of_service(service, upstream, limit - std::min(limit, records.size()));
-            records.insert(records.end(), ended.begin(), ended.end());
-        } else if (kind == "broken") {
+            return records_of_service(service_id{question.at("service").get<std::uint32_t>()},
+                                      upstream_id{question.at("upstream").get<std::uint32_t>()}, limit);
+        }
+        if (kind == "broken") {
             const auto since = from_unix_ms(question.at("since_ms").get<std::int64_t>());
             const std::lock_guard lock{history_mutex_};
-            records = history_.broken_since(since, most_broken_in_answer);
-        } else {
-            return {};
+            return history_.broken_since(since, most_broken_in_answer);
         }
     } catch (const json::exception&) {
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+gathered_flows query_service::local_answer(const std::string& question) {
+    take_ended();
+    const auto records = records_for(question);
+    if (!records) {
         return {};
     }
-    for (const auto& record : records) {
+    gathered_flows out;
+    for (const auto& record : *records) {
         out.flows.push_back({.entry = self_, .record = record});
     }
     const std::lock_guard lock{history_mutex_};
     out.replied.push_back(
         {.entry = self_, .ended = history_.reaches_back_to(), .broken = history_.broken_reaches_back_to()});
+    if (records->size() >= most_broken_in_answer) {
+        // Older broken flows may not have fitted into the answer.
+        out.replied.front().broken = records->back().ended_at.value_or(wall_time{});
+    }
     return out;
 }
 
--- a/apps/entry/query_service.hpp
+++ b/apps/entry/query_service.hpp
@@ -76,6 +76,10 @@
                                         const trace_context& trace);
     [[nodiscard]] http_call peer_call(const member& peer, const std::string& body,
                                       const trace_context* trace) const;
+    [[nodiscard]] std::vector<flow_record> records_of_flow(const flow_key& flow);
+    [[nodiscard]] std::vector<flow_record> records_of_service(service_id service, upstream_id upstream,
+                                                              std::size_t limit);
+    [[nodiscard]] std::optional<std::vector<flow_record>> records_for(const std::string& question);
     [[nodiscard]] gathered_flows local_answer(const std::string& question);
     [[nodiscard]] gathered_flows find_flow(const flow_key& flow, const trace_context& trace);
 
--- a/libs/record/src/evaluate.cpp
+++ b/libs/record/src/evaluate.cpp
@@ -422,8 +422,12 @@
     const wall_time since = resolve_time(statement.last, work.source.now(), time_direction::past);
     auto gathered = work.source.broken_flows(since);
     gathered.flows = distinct_ends(std::move(gathered.flows));
-    const std::string message = number(gathered.flows.size()) + " broken flows since " + to_rfc3339(since) +
-                                describe_reach(gathered) + unreached_text(gathered);
+    const bool partial = std::any_of(gathered.replied.begin(), gathered.replied.end(),
+                                     [since](const entry_reach& reach) { return reach.broken > since; }) ||
+                         !gathered.not_reached.empty();
+    const std::string message = (partial ? "at least " : "") + number(gathered.flows.size()) +
+                                " broken flows since " + to_rfc3339(since) + describe_reach(gathered) +
+                                unreached_text(gathered);
     if (statement.grouping == broken_flows_grouping::none) {
         const std::size_t listed = std::min(gathered.flows.size(), most_broken_listed);
         gathered.flows.resize(listed);
--- a/libs/record/tests/evaluate_test.cpp
+++ b/libs/record/tests/evaluate_test.cpp
@@ -85,12 +85,20 @@
     CHECK(mentions(split, "disagree about the upstream: dispatch/h07, dispatch/h08"));
 }
 
-// Guards against one broken flow that counts once for each entry VM that recorded it.
+// Guards against one broken flow that counts once for each entry VM that recorded it, and against a count
+// that is given as whole when records are missing.
 TEST_CASE("EvaluateTest.BrokenFlowsCountOnceByGroup") {
     const gathered_flows flows{.flows = {{.entry = "a", .record = record_of(7, flow_end::lost_at_upstream)},
                                          {.entry = "b", .record = record_of(7, flow_end::lost_at_upstream)}}};
     const auto by_cause = ask("broken flows last 1h by cause", flows);
     CHECK(by_cause.rows == std::vector<std::vector<std::string>>{{"lost_at_upstream", "1"}});
+    CHECK(by_cause.message.starts_with("1 broken flows"));
+    auto partial = flows;
+    partial.not_reached = {"127.10.2.1"};
+    CHECK(ask("broken flows last 1h", partial).message.starts_with("at least 1 broken flows"));
+    partial = flows;
+    partial.replied = {{.entry = "a", .ended = now, .broken = now}};
+    CHECK(ask("broken flows last 1h", partial).message.starts_with("at least 1 broken flows"));
     const auto by_upstream = ask("broken flows last 1h by upstream", flows);
     CHECK(by_upstream.rows == std::vector<std::vector<std::string>>{{"dispatch/h07", "1"}});
 }
