--- a/apps/entry/control_thread.cpp
+++ b/apps/entry/control_thread.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t pull_ring_capacity = 16;
 constexpr auto pull_timeout = milliseconds{2000};
 constexpr auto vm_poll_period = milliseconds{10'000};
+constexpr auto cleanup_period = std::chrono::seconds{60};
 constexpr auto vm_retry_period = milliseconds{1000};
 // Only watchers poll the VM list; what another daemon read at its start is used for this long.
 constexpr auto vm_list_lifetime = std::chrono::minutes{5};
@@ -39,6 +40,14 @@
             .incarnation = context.incarnation};
 }
 
+/// Whether this daemon has the lowest address of the live ones. That keeps all others from asking for the
+/// lease; only the lease makes sure that there is one.
+bool leads_cleanup(const membership_state& state) {
+    return std::none_of(state.peers.begin(), state.peers.end(), [&state](const auto& entry) {
+        return is_live(entry.second.known.state) && entry.first < state.self.address;
+    });
+}
+
 }  // namespace
 
 result<std::unique_ptr<control_thread>> control_thread::start(entry_context& context) {
@@ -59,11 +68,13 @@
       spread_(make_spread(context.settings.address, context.settings.failure_domain, {}, clock_now())),
       pulls_(std::make_shared<ring<pull_answer>>(pull_ring_capacity)),
       next_vm_poll_(clock_now()),
-      vms_known_at_(clock_now()) {
+      vms_known_at_(clock_now()),
+      next_cleanup_(clock_now() + cleanup_period) {
     publish_members();
     add_routes();
     advance(vm_list_received{.listed = seeds()});
-    platform_ = std::make_unique<platform_duty>(store_, context_.stopped);
+    platform_ = std::make_unique<platform_duty>(store_, store_, to_string(context_.settings.address),
+                                                context_.stopped);
     thread_ = std::thread{[this] { run(); }};
 }
 
@@ -180,7 +191,7 @@
     receive();
     take_requests();
     take_answers();
-    poll_vms();
+    poll_platform();
     advance_spread(spread_tick{});
     if (refresh_deadline_ && clock_now() >= *refresh_deadline_) {
         end_refresh();
@@ -254,8 +265,12 @@
             take_vms(*vms);
         } else if (const auto* loaded = std::get_if<load_finished>(&answer)) {
             advance_spread(*loaded);
+        } else if (const auto* watched = std::get_if<watch_finished>(&answer)) {
+            advance_spread(*watched);
         } else {
-            advance_spread(std::get<watch_finished>(answer));
+            context_.counters
+                .get("config_values_removed_total", "Old service values that this daemon deleted")
+                .add(std::get<cleanup_finished>(answer).removed);
         }
     }
     pull_answer pulled;
@@ -288,14 +303,20 @@
     advance(vm_list_received{.listed = std::move(listed)});
 }
 
-/// The VM list is polled by the watchers, and by a daemon that knows no live peer.
-void control_thread::poll_vms() {
+/// The watchers poll the VM list, and one daemon deletes old service values.
+void control_thread::poll_platform() {
     const auto now = clock_now();
     const bool watcher = is_watcher(spread_);
     if (!watcher && now - vms_known_at_ >= vm_list_lifetime) {
         vms_known_at_ = now;
         advance(vm_list_received{.listed = seeds()});
     }
+    if (now >= next_cleanup_) {
+        next_cleanup_ = now + cleanup_period;
+        if (leads_cleanup(membership_)) {
+            platform_->clean_up();
+        }
+    }
     if (watcher && now >= next_vm_poll_) {
         next_vm_poll_ = now + vm_poll_period;
         platform_->load_vms();
--- a/apps/entry/control_thread.hpp
+++ b/apps/entry/control_thread.hpp
@@ -60,7 +60,7 @@
     void take_requests();
     void take_answers();
     void take_vms(const vm_list_loaded& answer);
-    void poll_vms();
+    void poll_platform();
     void advance(const membership_event& event);
     void advance_spread(const spread_event& event);
     void send(const outgoing_message& message);
@@ -90,6 +90,7 @@
     mono_time members_published_;
     mono_time next_vm_poll_;
     mono_time vms_known_at_;
+    mono_time next_cleanup_;
     std::optional<mono_time> refresh_deadline_;
     bool announced_leaving_{false};
     bool platform_reachable_{true};
--- a/apps/entry/platform_duty.cpp
+++ b/apps/entry/platform_duty.cpp
@@ -1,5 +1,6 @@
 #include "platform_duty.hpp"
 
+#include <guavaramp/platform/config_cleanup.hpp>
 #include <guavaramp/platform/config_loader.hpp>
 
 namespace guavaramp {
@@ -11,13 +12,18 @@
 // A design size of 1,600 services is loaded at the call budget's rate when no peer has them.
 constexpr auto load_timeout = std::chrono::seconds{90};
 constexpr auto watch_time = std::chrono::seconds{25};
+constexpr auto cleanup_timeout = std::chrono::seconds{30};
+constexpr auto cleanup_lease_time = std::chrono::seconds{4};
+constexpr const char* cleanup_key = "guavaramp/leases/cleanup";
 
 mono_time clock_now() { return std::chrono::steady_clock::now(); }
 
 }  // namespace
 
-platform_duty::platform_duty(key_value_store& store, const std::atomic<bool>& stopped)
+platform_duty::platform_duty(key_value_store& store, lease_store& leases, std::string owner,
+                             const std::atomic<bool>& stopped)
     : store_(store),
+      cleanup_lease_(leases, cleanup_key, std::move(owner), cleanup_lease_time, clock_now),
       stopped_(stopped),
       watch_jobs_(ring_capacity),
       load_jobs_(ring_capacity),
@@ -37,7 +43,9 @@
     static_cast<void>(load_jobs_.push({.known = std::move(known)}));
 }
 
-void platform_duty::load_vms() { static_cast<void>(load_jobs_.push({.vms = true})); }
+void platform_duty::load_vms() { static_cast<void>(load_jobs_.push({.kind = load_kind::vms})); }
+
+void platform_duty::clean_up() { static_cast<void>(load_jobs_.push({.kind = load_kind::cleanup})); }
 
 bool platform_duty::pop(platform_answer& out) { return watch_answers_.pop(out) || load_answers_.pop(out); }
 
@@ -78,19 +86,28 @@
     return {.loaded = *std::move(loaded)};
 }
 
+platform_answer platform_duty::answer(const load_job& job) {
+    static const configuration nothing;
+    switch (job.kind) {
+        case load_kind::vms:
+            return vm_list_loaded{store_.vms(clock_now() + call_timeout)};
+        case load_kind::cleanup:
+            return cleanup_finished{
+                guavaramp::clean_up(store_, cleanup_lease_, clock_now() + cleanup_timeout).value_or(0)};
+        case load_kind::configuration:
+            break;
+    }
+    return load(job.known ? job.known->value() : nothing);
+}
+
 void platform_duty::run_loads() {
     load_job job;
-    const configuration nothing;
     while (!stopped_) {
         if (!load_jobs_.pop(job)) {
             std::this_thread::sleep_for(poll_period);
             continue;
         }
-        if (job.vms) {
-            static_cast<void>(load_answers_.push(vm_list_loaded{store_.vms(clock_now() + call_timeout)}));
-        } else {
-            static_cast<void>(load_answers_.push(load(job.known ? job.known->value() : nothing)));
-        }
+        static_cast<void>(load_answers_.push(answer(job)));
     }
 }
 
--- a/libs/membership/include/guavaramp/membership/membership.hpp
+++ b/libs/membership/include/guavaramp/membership/membership.hpp
@@ -20,6 +20,9 @@
 /// within 1.5 s, so that all know within 3 s.
 struct membership_options {
     std::chrono::milliseconds ping_period{500};
+    /// While a member is suspected: when a failure domain is cut off, many members fail at once, and each has
+    /// to be asked before it is declared dead.
+    std::chrono::milliseconds alarmed_ping_period{200};
     std::chrono::milliseconds indirect_after{200};     ///< an unanswered ping is also sent through others
     std::chrono::milliseconds suspect_after{500};      ///< counted from the ping
     std::chrono::milliseconds dead_after{1000};        ///< counted from the suspicion
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -67,6 +67,7 @@
     void ping_failed(const pending_ping& ping);
     void declare(peer& changed, member_state after);
     void check_suspicions();
+    [[nodiscard]] bool has_suspects() const;
     void send_pushes();
     void resume();
     void forget_old();
@@ -286,6 +287,11 @@
     }
 }
 
+bool step::has_suspects() const {
+    return std::any_of(state.peers.begin(), state.peers.end(),
+                       [](const auto& entry) { return entry.second.known.state == member_state::suspect; });
+}
+
 void step::check_suspicions() {
     for (auto& [address, item] : state.peers) {
         if (item.known.state == member_state::suspect && item.dead_at && now >= *item.dead_at) {
@@ -348,7 +354,8 @@
     check_pending();
     check_suspicions();
     if (now >= state.next_ping) {
-        state.next_ping = now + state.options.ping_period;
+        state.next_ping =
+            now + (has_suspects() ? state.options.alarmed_ping_period : state.options.ping_period);
         ping_next();
         forget_old();
     }
