--- a/apps/entry/packet_thread.cpp
+++ b/apps/entry/packet_thread.cpp
@@ -196,7 +196,10 @@
                 continue;
             }
             counters_.from_peers.add();
-            note_activity(now);
+            // Questions of peers go on as long as the daemon is listed and must not prolong its planned stop.
+            if (header->kind == relay_kind::ask_owner || header->kind == relay_kind::answer) {
+                note_activity(now);
+            }
             apply(state_,
                   relay_packet{.sender = one.source.address,
                                .header = *header,
