--- a/apps/load/request_engine.cpp
+++ b/apps/load/request_engine.cpp
@@ -180,9 +180,10 @@
     ++stream.results[static_cast<std::size_t>(result)];
     --stream.in_progress;
     if (result == request_result::answered) {
+        const auto now = now_mono();
         ++interval_at(stream, active.arrived).good;
-        stream.latency.add(
-            std::chrono::duration_cast<std::chrono::microseconds>(now_mono() - active.arrived));
+        ++interval_at(stream, now).completed;
+        stream.latency.add(std::chrono::duration_cast<std::chrono::microseconds>(now - active.arrived));
     }
     results_[active.request.id] = result;
     active_.erase(number);
@@ -243,13 +244,13 @@
     for (const auto& stream : streams_) {
         json list = json::array();
         for (const auto& item : stream.intervals) {
-            list.push_back({item.arrived, item.good});
+            list.push_back({item.arrived, item.good, item.completed});
         }
         streams[stream.options.name] = std::move(list);
     }
     return {{"start_ms", started_unix_ms_},
             {"interval_ms", interval_length.count()},
-            {"arrived_and_good", std::move(streams)}};
+            {"arrived_good_completed", std::move(streams)}};
 }
 
 json request_engine::ids(const std::string& result) {
--- a/apps/load/request_engine.hpp
+++ b/apps/load/request_engine.hpp
@@ -48,7 +48,8 @@
 
     /// Per stream: totals by result, attempts, latency quantiles of answered requests.
     [[nodiscard]] nlohmann::json stats();
-    /// Per stream: requests by the 100 ms interval of their arrival.
+    /// Per stream and 100 ms interval: requests that arrived, those of them answered in time, answers in time
+    /// that came in the interval.
     [[nodiscard]] nlohmann::json timeline();
     /// Ids of the requests with a result.
     [[nodiscard]] nlohmann::json ids(const std::string& result);
@@ -58,7 +59,8 @@
 
     struct interval_counts {
         std::uint64_t arrived{0};
-        std::uint64_t good{0};
+        std::uint64_t good{0};       ///< of these, answered in time
+        std::uint64_t completed{0};  ///< good answers that came in this interval
     };
 
     struct stream_state {
--- a/scripts/experiments/requests.py
+++ b/scripts/experiments/requests.py
@@ -31,14 +31,14 @@
 
 
 def window(timeline, name, from_ms, to_ms):
-    """Arrivals and good answers of the requests that arrived in a time window."""
-    arrived = good = 0
-    for index, (count, answered) in enumerate(timeline["arrived_and_good"].get(name, [])):
+    """Of a time window: requests that arrived, those of them answered in time, and answers in time that came
+    in the window, whenever their requests arrived."""
+    totals = [0, 0, 0]
+    for index, counts in enumerate(timeline["arrived_good_completed"].get(name, [])):
         at_ms = timeline["start_ms"] + index * timeline["interval_ms"]
         if from_ms <= at_ms < to_ms:
-            arrived += count
-            good += answered
-    return arrived, good
+            totals = [total + count for total, count in zip(totals, counts)]
+    return totals
 
 
 def now_ms():
@@ -71,9 +71,9 @@
         time.sleep(max(DISPATCH_DEADLINE_MS, RECORDS_DEADLINE_MS) / 1000.0 + 0.5)
         stats = fleet.requests("/stats")["streams"]
         timeline = fleet.requests("/timeline")
-        steady_arrived, steady_good = window(timeline, "before", steady_from, steady_to)
-        arrived, good = window(timeline, "during", flood_from, flood_to)
-        flood_arrived, flood_good = window(timeline, "flood", flood_from, flood_to)
+        steady_arrived, steady_good, _ = window(timeline, "before", steady_from, steady_to)
+        arrived, good, _ = window(timeline, "during", flood_from, flood_to)
+        flood_arrived, _, flood_good = window(timeline, "flood", flood_from, flood_to)
         seconds = (flood_to - flood_from) / 1000.0
         note(f"admission {admission}: before {before}\nduring {stats['during']}\nflood {stats['flood']}")
         if steady_good == 0 or arrived == 0:
@@ -138,13 +138,13 @@
         timeline = fleet.requests("/timeline")
         flows = fleet.flows("/stats")
         seconds = (flood_to - flood_from) / 1000.0
-        good = sum(window(timeline, name, flood_from, flood_to)[1] for name in ("steady", "patient", "impatient"))
+        good = sum(window(timeline, name, flood_from, flood_to)[2] for name in ("steady", "patient", "impatient"))
         sends = entry_counters(fleet, "request_sends_total")
         ran = [web.get(host.url("/ran")) for host in hosts]
         executed = sum(item["executed"] for item in ran)
         recovery = None
         for start in range(ended_ms, ended_ms + 8000, 500):
-            arrived, answered = window(timeline, "steady", start, ended_ms + 8500)
+            arrived, answered, _ = window(timeline, "steady", start, ended_ms + 8500)
             if arrived and answered >= 0.99 * arrived:
                 recovery = (start - ended_ms) / 1000.0
                 break
