--- a/apps/entry/query_service.cpp
+++ b/apps/entry/query_service.cpp
@@ -384,6 +384,8 @@
     if (open) {
         records.push_back(*open);
     }
+    // After the table, so that a flow that ends between the two is found in the history.
+    take_ended();
     const std::lock_guard lock{history_mutex_};
     const auto ended = history_.find(flow);
     records.insert(records.end(), ended.begin(), ended.end());
@@ -396,6 +398,7 @@
     if (dependencies_.flows.list_flows) {
         records = dependencies_.flows.list_flows(service, upstream, limit);
     }
+    take_ended();
     const std::size_t left = limit - std::min(limit, records.size());
     const std::lock_guard lock{history_mutex_};
     const auto ended = history_.of_service(service, upstream, left);
--- a/libs/config/src/change.cpp
+++ b/libs/config/src/change.cpp
@@ -43,6 +43,17 @@
                 quoted(name) + " is not a name; allowed: 1 to 63 of a-z, 0-9, '-', '_', '.'");
 }
 
+/// Failure domains come from the platform's VM list, so any printable name is allowed.
+result<void> check_failure_domain(const std::string& target, const std::string& domain) {
+    const bool printable =
+        std::all_of(domain.begin(), domain.end(), [](char letter) { return letter > ' ' && letter < 0x7f; });
+    if (printable && domain.size() <= longest_name) {
+        return {};
+    }
+    return fail(error_kind::invalid_argument,
+                quoted(target) + ": the failure domain is not 63 or fewer printable ASCII characters");
+}
+
 result<void> check_weight(const std::string& name, std::uint32_t weight) {
     if (weight >= least_weight && weight <= most_weight) {
         return {};
@@ -137,7 +148,7 @@
 /// Checks that a retired upstream's address may be given to another service.
 result<void> check_reuse(const draft& plan, const service& former, const upstream& retired,
                          const std::string& target) {
-    const std::string address = to_string(retired.request_address);
+    const std::string address = to_string(retired.packet_address.address);
     const auto free_at = retired.retired_at.value_or(plan.facts.now) + address_reuse_delay;
     if (plan.facts.now < free_at) {
         return fail(error_kind::refused, quoted(target) + ": address " + address +
@@ -153,24 +164,27 @@
     return {};
 }
 
+/// A host may serve several services behind one packet address, with a request address for each; within one
+/// service both are unique. An address that another service has given up is also checked for reuse: an entry
+/// VM that has not heard of the removal still sends the former service's packets there.
 result<void> check_upstream_address(const draft& plan, const service& owner, const upstream& added) {
     const std::string target = owner.name + "/" + added.name;
     for (const auto& [name, other] : plan.value.services) {
         const bool same_service = name == owner.name;
         for (const auto& host : other.upstreams) {
             const bool same_request = host.request_address == added.request_address;
-            const bool same_packet = same_service && host.packet_address == added.packet_address;
-            if (!same_request && !same_packet) {
-                continue;
-            }
-            if (host.state != upstream_state::retired) {
+            const bool same_packet = host.packet_address == added.packet_address;
+            const bool retired = host.state == upstream_state::retired;
+            if (!retired && (same_request || (same_packet && same_service))) {
                 return fail(error_kind::refused,
                             quoted(target) + ": address " +
                                 to_string(same_request ? added.request_address : added.packet_address) +
                                 " belongs to " + name + "/" + host.name);
             }
-            if (auto reusable = check_reuse(plan, other, host, target); !same_service && !reusable) {
-                return reusable;
+            if (retired && !same_service && (same_request || same_packet)) {
+                if (auto reusable = check_reuse(plan, other, host, target); !reusable) {
+                    return reusable;
+                }
             }
         }
     }
@@ -276,6 +290,9 @@
     if (auto valid = check_weight(full_name(change.target), change.weight); !valid) {
         return valid;
     }
+    if (auto valid = check_failure_domain(full_name(change.target), change.failure_domain); !valid) {
+        return valid;
+    }
     if (find_current(**owner, change.target.name) != nullptr) {
         return fail(error_kind::refused, quoted(full_name(change.target)) + ": the upstream exists already");
     }
--- a/libs/config/tests/change_test.cpp
+++ b/libs/config/tests/change_test.cpp
@@ -74,6 +74,20 @@
     run(base, drain_change{.target = h2});
 }
 
+// Guards against a text that JSON cannot hold, which would be found only after the change was planned.
+TEST_CASE("ChangeTest.NamesAreCheckedBeforeTheyAreStored") {
+    const auto base = two_services();
+    auto change = add_host("records", "r2", 9, 8080);
+    for (const char* domain : {"\xff", "a b", "a\n"}) {
+        change.failure_domain = domain;
+        CHECK(refusal(base, change, facts_at(start_ms)).kind == error_kind::invalid_argument);
+    }
+    for (const char* name : {"", "R2", "a/b", "\xff", "-a"}) {
+        const add_service_change added{.name = name, .address = *parse_endpoint("10.9.0.9:443")};
+        CHECK(refusal(base, added, facts_at(start_ms)).kind == error_kind::invalid_argument);
+    }
+}
+
 // Guards against two services, or two upstreams, that claim one address.
 TEST_CASE("ChangeTest.OverlappingAddressesAreRefused") {
     auto base = two_services();
@@ -93,6 +107,8 @@
     const auto removal = static_cast<std::uint64_t>(base.head.revision);
     const auto moved = add_host("records", "r2", 1, 8080);
     CHECK(refusal(base, moved, facts_at(start_ms + 59'999)).kind == error_kind::refused);
+    CHECK(refusal(base, add_host("records", "r2", 1, 8081), facts_at(start_ms + 59'999)).kind ==
+          error_kind::refused);
     const auto behind = refusal(base, moved, facts_at(start_ms + 60'000, removal - 1));
     CHECK(behind.message.find("127.10.1.1") != std::string::npos);
     CHECK(plan_change(base, moved, facts_at(start_ms + 60'000, removal)).has_value());
