--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -40,7 +40,15 @@
 }
 
 void add_admin_routes(entry_context& context) {
-    context.router.add("GET", "/healthz", [](const http_request&, const http_responder& respond) {
+    // The fabric's health check: without a configuration, or during a planned stop, packets belong elsewhere.
+    context.router.add("GET", "/healthz", [&context](const http_request&, const http_responder& respond) {
+        const bool starting = context.config.get() == nullptr;
+        if (starting || context.leaving) {
+            const int unavailable = answer_for(error_kind::unavailable).http_status;
+            respond({.status = unavailable,
+                     .body = starting ? R"({"status":"starting"})" : R"({"status":"leaving"})"});
+            return;
+        }
         respond({.body = R"({"status":"ok"})"});
     });
     context.router.add("GET", "/metrics", [&context](const http_request&, const http_responder& respond) {
