--- a/apps/entry/request_thread.cpp
+++ b/apps/entry/request_thread.cpp
@@ -1,8 +1,7 @@
 #include "request_thread.hpp"
 
-#include "peer_call.hpp"
-
 #include <guavaramp/admission/admission.hpp>
+#include <guavaramp/auth/peer_call.hpp>
 #include <guavaramp/base/ring.hpp>
 #include <guavaramp/requests/owner_history.hpp>
 #include <guavaramp/requests/request_table.hpp>
@@ -219,6 +218,8 @@
         const std::int64_t now_ms = now_unix_ms();
         if (now_ms - last_ms > pause_ms) {
             owners.record_pause(now_ms);
+            count("request_pauses_total", "Times that the request thread did not run for over a second", "")
+                .add();
         }
         last_ms = now_ms;
         refresh(now_ms);
@@ -578,8 +579,10 @@
         }
         return;
     }
-    result<host_answer> parsed = fail(error_kind::unavailable, "the connection broke");
-    if (outcome.response) {
+    result<host_answer> parsed;
+    if (!outcome.response) {
+        parsed = tl::make_unexpected(outcome.response.error());
+    } else {
         parsed = parse_host_answer(outcome.response->status, outcome.response->body, id);
     }
     if (!parsed) {
--- a/libs/admission/src/admission.cpp
+++ b/libs/admission/src/admission.cpp
@@ -6,10 +6,10 @@
 namespace guavaramp {
 namespace {
 
-// A class counts as active at a host for this long after its last request; slow hosts see a request of each
-// daemon only every few seconds.
-constexpr auto activity_window = std::chrono::seconds{5};
-constexpr double use_time_constant_s = 5.0;
+// A class counts as active for this long after its last request, so that lower classes do not fill the hosts
+// between two requests of a steady, sparse class.
+constexpr auto activity_window = std::chrono::seconds{3};
+constexpr double use_time_constant_s = 3.0;
 constexpr double rate_time_constant_s = 2.0;
 constexpr std::size_t most_urgent = 0;
 
--- a/apps/entry/peer_call.cpp
+++ b/libs/auth/src/peer_call.cpp
@@ -1,4 +1,4 @@
-#include "peer_call.hpp"
+#include <guavaramp/auth/peer_call.hpp>
 
 #include <charconv>
 #include <sstream>
--- a/libs/net/tests/http_test.cpp
+++ b/libs/net/tests/http_test.cpp
@@ -1,9 +1,15 @@
 #include <guavaramp/net/http.hpp>
 
 #include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <future>
+#include <string_view>
+#include <thread>
 #include <vector>
 
 namespace guavaramp {
@@ -93,5 +99,75 @@
     CHECK(outcome.sent_request);
 }
 
+/// Answers GET and closes the connection after a POST without an answer, as a host does that fails after it
+/// ran the request.
+class failing_server {
+public:
+    failing_server() : listener_(::socket(AF_INET, SOCK_STREAM, 0)) {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(to_ipv4(local.address));
+        address.sin_port = htons(local.port);
+        const int on = 1;
+        ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        REQUIRE(::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+        REQUIRE(::listen(listener_, 16) == 0);
+        acceptor_ = std::thread{[this] { accept_all(); }};
+    }
+    failing_server(const failing_server&) = delete;
+    failing_server& operator=(const failing_server&) = delete;
+    ~failing_server() {
+        ::shutdown(listener_, SHUT_RDWR);
+        acceptor_.join();
+        for (auto& connection : connections_) {
+            connection.join();
+        }
+        ::close(listener_);
+    }
+
+    static inline const endpoint local{.address = from_ipv4(0x7f320001), .port = 18082};
+    std::atomic<int> posts{0};
+
+private:
+    void accept_all() {
+        for (int peer = ::accept(listener_, nullptr, nullptr); peer >= 0;
+             peer = ::accept(listener_, nullptr, nullptr)) {
+            connections_.emplace_back([this, peer] { serve(peer); });
+        }
+    }
+
+    void serve(int peer) {
+        std::array<char, 4096> buffer{};
+        for (auto size = ::recv(peer, buffer.data(), buffer.size(), 0); size > 0;
+             size = ::recv(peer, buffer.data(), buffer.size(), 0)) {
+            if (std::string_view{buffer.data(), static_cast<std::size_t>(size)}.starts_with("POST")) {
+                ++posts;
+                break;
+            }
+            constexpr std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            ::send(peer, answer.data(), answer.size(), MSG_NOSIGNAL);
+        }
+        ::close(peer);
+    }
+
+    int listener_;
+    std::thread acceptor_;
+    std::vector<std::thread> connections_;
+};
+
+// Guards against a silent second sending by libcurl when a reused connection closes without an answer: the
+// request would run twice.
+TEST_CASE("HttpTest.AtMostOnceCallIsNotSentAgainWhenTheConnectionCloses") {
+    failing_server server;
+    const std::string url = "http://" + to_string(failing_server::local) + "/";
+    http_client client;  // ends first and closes the connections that the server's threads wait on
+    REQUIRE(client.run({.url = url, .deadline = deadline()}).response.has_value());
+    const auto outcome = client.run(
+        {.method = "POST", .url = url, .body = "order", .deadline = deadline(), .at_most_once = true});
+    CHECK_FALSE(outcome.response.has_value());
+    CHECK(outcome.sent_request);
+    CHECK(server.posts == 1);
+}
+
 }  // namespace
 }  // namespace guavaramp
