--- a/libs/net/include/guavaramp/net/http.hpp
+++ b/libs/net/include/guavaramp/net/http.hpp
@@ -80,7 +80,8 @@
 /// An HTTP client (libcurl multi interface) on one thread of its own, with connection reuse.
 class http_client {
 public:
-    explicit http_client(const http_client_options& options = {});
+    http_client() : http_client(http_client_options{}) {}
+    explicit http_client(const http_client_options& options);
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
