--- a/libs/membership/include/guavaramp/membership/membership.hpp
+++ b/libs/membership/include/guavaramp/membership/membership.hpp
@@ -65,6 +65,8 @@
     mono_time last_tick;
     mono_time next_ping;
     mono_time next_candidate;
+    mono_time next_sync;            ///< when a starting daemon asks for the whole list again
+    std::uint32_t syncs_left{0};    ///< how often it still does
     std::set<ip_address> push_to;   ///< members that get the whole list with the next tick
     std::set<ip_address> disputed;  ///< dead here, alive elsewhere
     bool push_wanted{false};
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::size_t push_peers_own_domain = 4;
 // SWIM (section 4.1) sends an update 3 log2(n) times; pushes do most of the spreading here, and pings repair.
-constexpr double sends_per_doubling = 2.0;
+constexpr double sends_per_doubling = 1.0;
 // Bounds a ping to about 400 bytes, so that a start of the whole fleet does not exceed the control budget.
 constexpr std::size_t max_piggybacked = 6;
 constexpr auto confirm_time = milliseconds{10'000};
@@ -23,6 +23,9 @@
 constexpr std::size_t disputes_per_tick = 10;
 // A daemon that starts, or is cut off, looks for its first peer faster.
 constexpr auto lonely_candidate_period = milliseconds{100};
+// The first peer's list may be incomplete while many daemons start; later lists fill it up.
+constexpr std::uint32_t start_syncs = 2;
+constexpr auto start_sync_period = milliseconds{1000};
 constexpr auto dispute_retry = milliseconds{1000};
 // Pushed updates: 40 bytes each, so 200 a second stay below half of a daemon's control budget of 19 KB/s.
 constexpr double urgent_updates_per_second = 200;
@@ -69,6 +72,7 @@
     void check_suspicions();
     [[nodiscard]] bool has_suspects() const;
     void send_pushes();
+    void sync_after_start();
     void resume();
     void forget_old();
 
@@ -331,6 +335,17 @@
     }
 }
 
+void step::sync_after_start() {
+    if (state.syncs_left == 0 || now < state.next_sync) {
+        return;
+    }
+    --state.syncs_left;
+    state.next_sync = now + start_sync_period;
+    for (const auto& address : random_live(1, {})) {
+        send(address, {.kind = message_kind::sync_request});
+    }
+}
+
 /// After a pause, the others may have given up on this member and it must not give up on them: all waiting
 /// ends without a verdict, and the member list is asked for again.
 void step::resume() {
@@ -366,6 +381,7 @@
     }
     ping_disputed();
     ping_for_confirmation();
+    sync_after_start();
     send_pushes();
 }
 
@@ -574,6 +590,8 @@
     state.last_tick = now;
     state.next_ping = now;
     state.next_candidate = now;
+    state.syncs_left = start_syncs;
+    state.next_sync = now + start_sync_period;
     state.urgent_budget = make_token_bucket(urgent_updates_per_second, urgent_updates_burst, now);
     return state;
 }
