--- a/apps/ctl/session.cpp
+++ b/apps/ctl/session.cpp
@@ -36,7 +36,7 @@
     const std::string line{rl_line_buffer, static_cast<std::size_t>(end)};
     candidates = complete_statement(line, completing->names_for(line));
     const bool unfinished = candidates.size() == 1 && candidates.front().ends_with('/');
-    rl_completion_append_character = unfinished ? '\0' : ' ';
+    rl_completion_append_character = unfinished ? 0 : 0x20;  // none, or a space
     return rl_completion_matches(text, next_candidate);
 }
 
--- a/apps/entry/tests/query_service_test.cpp
+++ b/apps/entry/tests/query_service_test.cpp
@@ -45,7 +45,8 @@
     std::unique_ptr<query_service> queries;
     std::unique_ptr<http_server> server;
 
-    test_entry(const char* address, const char* domain) : context{.settings = settings_of(address, domain)} {
+    test_entry(const char* address, const char* domain)
+        : context{.settings = settings_of(address, domain), .client = http_client{}} {
         context.config.set(some_configuration());
         context.members.set(std::make_shared<member_list>(
             member_list{{alive(first_address, "a"), alive(second_address, "b"), alive(third_address, "a")}}));
