--- a/apps/ctl/main.cpp
+++ b/apps/ctl/main.cpp
@@ -78,16 +78,26 @@
         TCLAP::SwitchArg json{"j", "json", "Print the answer as one JSON object", line};
         TCLAP::SwitchArg wait{"w", "wait", "Wait until a change is in force", line};
         TCLAP::SwitchArg dry_run{"n", "dry-run", "Show what a change would do, and do nothing", line};
+        TCLAP::ValueArg<std::uint64_t> if_revision{
+            "",
+            "if-revision",
+            "Refuse a change of a service that changed after this revision",
+            false,
+            0,
+            "number",
+            line};
         TCLAP::UnlabeledMultiArg<std::string> words{"command", "Command; none starts a session", false,
                                                     "words", line};
         line.setExceptionHandling(false);
         line.parse(argc, argv);
-        return guavaramp::run({.entries = entries.getValue(),
-                               .ca_file = ca_file.getValue(),
-                               .json = json.getValue(),
-                               .wait = wait.getValue(),
-                               .dry_run = dry_run.getValue()},
-                              key_file.getValue(), words.getValue());
+        return guavaramp::run(
+            {.entries = entries.getValue(),
+             .ca_file = ca_file.getValue(),
+             .json = json.getValue(),
+             .wait = wait.getValue(),
+             .dry_run = dry_run.getValue(),
+             .if_revision = if_revision.isSet() ? std::optional{if_revision.getValue()} : std::nullopt},
+            key_file.getValue(), words.getValue());
     } catch (const TCLAP::ExitException& exit) {
         return exit.getExitStatus();
     } catch (const TCLAP::ArgException& failure) {
--- a/apps/ctl/session.cpp
+++ b/apps/ctl/session.cpp
@@ -78,6 +78,9 @@
     }
     body["dry_run"] = options_.dry_run;
     body["wait"] = options_.wait;
+    if (options_.if_revision) {
+        body["if_revision"] = *options_.if_revision;
+    }
     const bool has_scheme = entry.find("://") != std::string::npos;
     const std::string scheme = options_.ca_file.empty() ? "http://" : "https://";
     return {.method = "POST",
--- a/apps/ctl/session.hpp
+++ b/apps/ctl/session.hpp
@@ -4,6 +4,7 @@
 #include <guavaramp/record/evaluate.hpp>
 #include <guavaramp/telemetry/trace.hpp>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,7 @@
     bool json{false};
     bool wait{false};
     bool dry_run{false};
+    std::optional<std::uint64_t> if_revision;  ///< refuse a change of a service that changed since
 };
 
 /// Sends commands to entry VMs. Not thread-safe.
--- a/apps/entry/query_service.cpp
+++ b/apps/entry/query_service.cpp
@@ -258,7 +258,14 @@
     };
     const auto command = body["command"].get<std::string>();
     const auto key = body.contains("key") && body["key"].is_string() ? body["key"].get<std::string>() : "";
-    const change_options options{.dry_run = flag("dry_run"), .wait = flag("wait")};
+    change_options options{.dry_run = flag("dry_run"), .wait = flag("wait")};
+    if (body.contains("if_revision")) {
+        if (!body["if_revision"].is_number_unsigned()) {
+            respond(failed_answer(error_kind::malformed, "if_revision: expected a number"));
+            return;
+        }
+        options.if_revision = config_revision{body["if_revision"].get<std::uint64_t>()};
+    }
     const auto parsed = parse_statement(command);
     const bool needs_key = !context_.settings.open_questions || (parsed && is_change(*parsed));
     if (needs_key && !equal_secrets(key, context_.settings.operator_key)) {
@@ -607,10 +614,11 @@
     const auto deadline = std::chrono::steady_clock::now() + change_deadline;
     const auto snapshot = context_.config.get();
     const configuration known = snapshot ? snapshot->value() : configuration{};
-    const auto facts = facts_for(command, deadline);
+    auto facts = facts_for(command, deadline);
     if (!facts) {
         return tl::make_unexpected(facts.error());
     }
+    facts->if_revision = options.if_revision;
     change_outcome outcome;
     if (options.dry_run) {
         const auto base = read_configuration(*dependencies_.store, known, deadline);
--- a/libs/config/include/guavaramp/config/change.hpp
+++ b/libs/config/include/guavaramp/config/change.hpp
@@ -120,6 +120,8 @@
     /// The new revision is at least this one; skips a revision whose service value another writer left
     /// behind.
     config_revision least_revision{0};
+    /// The revision that the operator has seen: a later change of a service of this command is a `conflict`.
+    std::optional<config_revision> if_revision;
 };
 
 /// A checked change: the values to write and the head that names them.
@@ -140,7 +142,8 @@
 
 /// Checks a change against `base` and returns what would be written. Errors: `not_found` (with the nearest
 /// name), `refused` (a check of design section 8, or nothing to change), `invalid_argument`. The message
-/// quotes the offending name first. Thread-safe.
+/// quotes the offending name first; `conflict` (a service changed after `change_facts::if_revision`).
+/// Thread-safe.
 [[nodiscard]] result<planned_change> plan_change(const configuration& base, const change_command& command,
                                                  const change_facts& facts);
 
--- a/libs/config/src/change.cpp
+++ b/libs/config/src/change.cpp
@@ -439,6 +439,22 @@
     });
 }
 
+/// Refuses a change that was made without knowledge of a later one of the same service.
+result<void> check_seen(const draft& plan, const configuration& base) {
+    for (const auto& name : plan.touched) {
+        const auto found = base.services.find(name);
+        const bool changed = plan.facts.if_revision && found != base.services.end() &&
+                             found->second.revision > *plan.facts.if_revision;
+        if (changed) {
+            return fail(error_kind::conflict,
+                        quoted(name) + " changed at revision " +
+                            std::to_string(static_cast<std::uint64_t>(found->second.revision)) + " by " +
+                            found->second.change_id + ", after the revision that was seen");
+        }
+    }
+    return {};
+}
+
 void remember(config_head& head, accepted_change change) {
     head.recent_changes.push_back(std::move(change));
     if (head.recent_changes.size() > max_recent_changes) {
@@ -523,6 +539,9 @@
                                    const change_facts& facts) {
     draft plan{.value = base, .facts = facts};
     const auto applied = std::visit([&plan](const auto& change) { return apply(plan, change); }, command);
+    if (const auto seen = check_seen(plan, base); !seen) {
+        return tl::make_unexpected(seen.error());
+    }
     if (!applied) {
         return tl::make_unexpected(applied.error());
     }
--- a/libs/config/tests/commit_test.cpp
+++ b/libs/config/tests/commit_test.cpp
@@ -75,6 +75,26 @@
     }
 }
 
+// Guards against a change that overwrites another one made after the state that was seen, however the two
+// writes are ordered.
+TEST_CASE("CommitTest.OfTwoChangesThatSawOneRevisionOneIsAccepted") {
+    fake_store store;
+    add_service(store, "dispatch", 1);
+    add_service(store, "records", 2);
+    const auto seen = stored(store).head.revision;
+    const auto commit_if = [&](const change_command& command, const std::string& id) {
+        test_clock clock;
+        const change_facts facts{.now = from_unix_ms(1'000'000), .change_id = id, .if_revision = seen};
+        return commit_change(store, {}, command, facts, clock.now + allowed, clock.functions());
+    };
+    REQUIRE(commit_if(weight("dispatch", 7), "first").has_value());
+    const auto second = commit_if(weight("dispatch", 9), "second");
+    REQUIRE_FALSE(second.has_value());
+    CHECK(second.error().kind == error_kind::conflict);
+    CHECK(second.error().message.find("by first") != std::string::npos);
+    CHECK(commit_if(weight("records", 9), "third").has_value());
+}
+
 // Guards against a refusal of a change because an unrelated service changed at the same moment.
 TEST_CASE("CommitTest.ChangeOfAnotherServiceIsPlannedAgain") {
     fake_store store;
--- a/libs/record/include/guavaramp/record/evaluate.hpp
+++ b/libs/record/include/guavaramp/record/evaluate.hpp
@@ -44,6 +44,7 @@
 struct change_options {
     bool dry_run{false};
     bool wait{false};  ///< until every live reachable entry VM has reported the revision
+    std::optional<config_revision> if_revision;  ///< refuse when the service changed after this revision
 };
 
 /// What became of a change.
