Count a pause as a possible partition; give requests their own HTTP client

The owner model now treats a paused entry VM as out of reach of others. A flood's calls no longer share the HTTP client with other duties.

--- a/apps/entry/request_thread.cpp
+++ b/apps/entry/request_thread.cpp
@@ -135,6 +135,7 @@
           limits(admission_options{.enabled = given.settings.admission}, given.incarnation) {}
 
     entry_context& context;
+    http_client client;  ///< of its own, so that a flood does not delay the calls of other duties
     std::shared_ptr<event_inbox> inbox{std::make_shared<event_inbox>()};
     owner_history owners;
     request_table table;
@@ -447,7 +448,7 @@
     const auto& settings = context.settings;
     const endpoint target{.address = peer, .port = settings.ports.http};
     const char* scheme = settings.certificate_file.empty() ? "http://" : "https://";
-    context.client.start(
+    client.start(
         {.method = "POST",
          .url = scheme + to_string(target) + path,
          .body = body,
@@ -549,7 +550,7 @@
     table.mark_sent(item.request.id);
     count("request_sends_total", "Requests sent to upstreams, repeated ones included", "").add();
     item.host_url = "http://" + to_string(target.host->request_address);
-    item.call = context.client.start(
+    item.call = client.start(
         {.method = "POST",
          .url = item.host_url + "/run",
          .body = to_run_text(item.request),
@@ -623,13 +624,13 @@
     if (item.call == 0) {
         return;
     }
-    context.client.cancel(item.call);
+    client.cancel(item.call);
     count("request_cancellations_total", "Requests cancelled at upstreams", "").add();
-    context.client.start({.method = "POST",
-                          .url = item.host_url + "/cancel",
-                          .body = nlohmann::json{{"id", item.request.id}}.dump(),
-                          .deadline = mono_at(now_unix_ms() + cancel_timeout_ms)},
-                         [](const http_outcome&) {});
+    client.start({.method = "POST",
+                  .url = item.host_url + "/cancel",
+                  .body = nlohmann::json{{"id", item.request.id}}.dump(),
+                  .deadline = mono_at(now_unix_ms() + cancel_timeout_ms)},
+                 [](const http_outcome&) {});
 }
 
 void request_thread::state::cancel_owned(const std::string& id) {
--- a/libs/requests/include/guavaramp/requests/owner_history.hpp
+++ b/libs/requests/include/guavaramp/requests/owner_history.hpp
@@ -36,8 +36,12 @@
     /// Applies a member list.
     void update(const member_list& members, std::int64_t now_ms);
 
-    /// Records that this daemon did not run for a while: others may have taken over its ids meanwhile.
-    void record_pause(std::int64_t now_ms) { unknown_before_ms_ = now_ms; }
+    /// Records that this daemon did not run for a while: others may have taken over its ids meanwhile, and
+    /// act for them until they hear that it is back.
+    void record_pause(std::int64_t now_ms) {
+        unknown_before_ms_ = now_ms;
+        last_split_ms_ = now_ms;
+    }
 
     [[nodiscard]] request_route route(const std::string& id, std::int64_t first_sent_ms) const;
 
--- a/libs/requests/tests/request_table_test.cpp
+++ b/libs/requests/tests/request_table_test.cpp
@@ -169,8 +169,11 @@
 
     unsigned draw(unsigned below) { return static_cast<unsigned>(random_() % below); }
 
+    bool paused(unsigned number) const { return now_ms_ < all_[number].paused_until_ms; }
+
     bool connected(unsigned left, unsigned right) const {
-        return all_[left].up && all_[right].up && (!partitioned_ || (left == 0) == (right == 0));
+        const bool same_side = !partitioned_ || (left == 0) == (right == 0);
+        return all_[left].up && all_[right].up && same_side && !paused(left) && !paused(right);
     }
 
     void start(unsigned number) {
@@ -209,8 +212,7 @@
                 if (differs_since == 0) {
                     differs_since = now_ms_;
                 }
-                const bool paused = now_ms_ < all_[observer].paused_until_ms;
-                if (!paused && now_ms_ - differs_since >= draw(detection_ms)) {
+                if (!paused(observer) && now_ms_ - differs_since >= draw(detection_ms)) {
                     seen_[observer][subject] = real;
                     publish(observer);
                 }
@@ -372,12 +374,15 @@
 TEST_CASE("RequestTableTest.NothingRunsTwiceOrIsToldNotRunAfterItRan") {
     std::size_t ran = 0;
     check_property("at most once", [&ran](unsigned seed) {
-        fleet_model model{seed};
-        for (int step = 0; step < 2000; ++step) {
-            model.step();
+        // Rare coincidences, such as a pause during a partition, need more histories than properties run.
+        for (unsigned history = 0; history < 10; ++history) {
+            fleet_model model{seed + 7919 * history};
+            for (int step = 0; step < 2000; ++step) {
+                model.step();
+            }
+            model.check();
+            ran += model.ran();
         }
-        model.check();
-        ran += model.ran();
     });
     CHECK(ran > 1000);  // the model must let requests run
 }
