--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -1,4 +1,7 @@
+#include "control_thread.hpp"
 #include "entry_context.hpp"
+#include "packet_thread.hpp"
+#include "query_service.hpp"
 #include "request_thread.hpp"
 
 #include <guavaramp/telemetry/log.hpp>
@@ -37,7 +40,15 @@
 }
 
 void add_admin_routes(entry_context& context) {
-    context.router.add("GET", "/healthz", [](const http_request&, const http_responder& respond) {
+    // The fabric's health check: without a configuration, or during a planned stop, packets belong elsewhere.
+    context.router.add("GET", "/healthz", [&context](const http_request&, const http_responder& respond) {
+        const bool starting = context.config.get() == nullptr;
+        if (starting || context.leaving) {
+            const int unavailable = answer_for(error_kind::unavailable).http_status;
+            respond({.status = unavailable,
+                     .body = starting ? R"({"status":"starting"})" : R"({"status":"leaving"})"});
+            return;
+        }
         respond({.body = R"({"status":"ok"})"});
     });
     context.router.add("GET", "/metrics", [&context](const http_request&, const http_responder& respond) {
@@ -91,12 +102,44 @@
         return 0;
     }
     start_log("guavaramp-entry", parse_log_level(settings->log_level));
+    const auto local_address = to_string(settings->address);
     entry_context context{.settings = *std::move(settings),
-                          .incarnation = static_cast<std::uint64_t>(now_unix_ms())};
+                          .incarnation = static_cast<std::uint64_t>(now_unix_ms()),
+                          .client = http_client{{.local_address = local_address}}};
     std::signal(SIGTERM, on_signal);
     std::signal(SIGINT, on_signal);
     add_admin_routes(context);
+    const auto fail_start = [](const error& failure) {
+        log_event(log_level::error, "start_failed", {{"message", failure.message}});
+        stop_log();
+        return answer_for(failure.kind).exit_status;
+    };
+    auto control = control_thread::start(context);
+    if (!control) {
+        return fail_start(control.error());
+    }
+    std::unique_ptr<packet_thread> packets;
+    query_service queries{
+        context,
+        {.store = &(*control)->store(),
+         .flows = {.find_flow = [&packets](const flow_key& flow) { return packets->find_flow(flow); }},
+         .refresh_now = [&control] { (*control)->refresh_now(); },
+         .accept = [&control](configuration accepted) { (*control)->accept(std::move(accepted)); },
+         .confirm = [&control](config_revision revision) { (*control)->confirm(revision); },
+         .is_blocked =
+             [&context](const ip_address& peer) {
+                 const auto blocked = context.blocked_peers.get();
+                 return blocked && blocked->contains(peer);
+             }}};
+    auto started_packets = packet_thread::start(
+        context, {.on_flow_ended = [&queries](const flow_record& record) { queries.record_ended(record); },
+                  .on_newer_config = [&control](const ip_address&) { (*control)->refresh_now(); }});
+    if (!started_packets) {
+        return fail_start(started_packets.error());
+    }
+    packets = *std::move(started_packets);
     request_thread requests{context};
+    // The server starts last: routes are added before it, and its handlers use all duties.
     auto server = start_http_server(
         {.local = {.address = context.settings.address, .port = context.settings.ports.http},
          .certificate_file = context.settings.certificate_file,
@@ -105,14 +148,13 @@
             context.router.handle(std::move(request), respond);
         });
     if (!server) {
-        log_event(log_level::error, "start_failed", {{"message", server.error().message}});
-        stop_log();
-        return answer_for(server.error().kind).exit_status;
+        return fail_start(server.error());
     }
     log_event(log_level::info, "started", {{"address", to_string(context.settings.address)}});
     wait_for_stop(context);
     context.stopped = true;
     server->reset();
+    packets.reset();
     stop_log();
     return 0;
 }
