--- a/libs/config/include/guavaramp/config/delta.hpp
+++ b/libs/config/include/guavaramp/config/delta.hpp
@@ -15,6 +15,7 @@
     std::uint32_t next_service_id{1};
     std::uint32_t next_upstream_id{1};
     std::vector<service> changed;
+    std::vector<accepted_change> recent_changes;  ///< those of the newer head that are later than `since`
     std::uint64_t head_hash{0};  ///< of the newer head; detects a base that differs from the sender's
 
     friend bool operator==(const config_delta&, const config_delta&) = default;
--- a/libs/config/src/delta.cpp
+++ b/libs/config/src/delta.cpp
@@ -3,11 +3,36 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <iterator>
+
 namespace guavaramp {
 namespace {
 
 std::uint64_t hash_head(const config_head& head) { return hash_text(to_json(head).dump()); }
 
+/// Appends later changes and drops the oldest beyond `max_recent_changes`, as the writer of a head does.
+void append_changes(std::vector<accepted_change>& changes, const std::vector<accepted_change>& later) {
+    changes.insert(changes.end(), later.begin(), later.end());
+    if (changes.size() > max_recent_changes) {
+        changes.erase(changes.begin(), changes.end() - max_recent_changes);
+    }
+}
+
+nlohmann::json change_to_json(const accepted_change& value) {
+    return {{"revision", static_cast<std::uint64_t>(value.revision)},
+            {"change_id", value.change_id},
+            {"summary", value.summary},
+            {"accepted_at_ms", to_unix_ms(value.accepted_at)}};
+}
+
+accepted_change decode_change(const nlohmann::json& json) {
+    return {.revision = config_revision{json.at("revision").get<std::uint64_t>()},
+            .change_id = json.at("change_id").get<std::string>(),
+            .summary = json.at("summary").get<std::string>(),
+            .accepted_at = from_unix_ms(json.at("accepted_at_ms").get<std::int64_t>())};
+}
+
 }  // namespace
 
 config_delta make_delta(const configuration& value, config_revision since) {
@@ -21,6 +46,8 @@
             delta.changed.push_back(item);
         }
     }
+    std::ranges::copy_if(value.head.recent_changes, std::back_inserter(delta.recent_changes),
+                         [since](const accepted_change& change) { return change.revision > since; });
     return delta;
 }
 
@@ -36,6 +63,7 @@
         value.head.services[item.name] = {.id = item.id, .revision = item.revision};
         value.services[item.name] = item;
     }
+    append_changes(value.head.recent_changes, delta.recent_changes);
     if (hash_head(value.head) != delta.head_hash) {
         return fail(error_kind::conflict, "the configuration differs from the sender's after the changes");
     }
@@ -47,11 +75,16 @@
     for (const auto& item : value.changed) {
         changed.push_back(to_json(item));
     }
+    nlohmann::json recent = nlohmann::json::array();
+    for (const auto& item : value.recent_changes) {
+        recent.push_back(change_to_json(item));
+    }
     return {{"since", static_cast<std::uint64_t>(value.since)},
             {"revision", static_cast<std::uint64_t>(value.revision)},
             {"next_service_id", value.next_service_id},
             {"next_upstream_id", value.next_upstream_id},
             {"changed", std::move(changed)},
+            {"recent_changes", std::move(recent)},
             {"head_hash", value.head_hash}};
 }
 
@@ -70,6 +103,9 @@
             }
             delta.changed.push_back(*std::move(decoded));
         }
+        for (const auto& item : json.at("recent_changes")) {
+            delta.recent_changes.push_back(decode_change(item));
+        }
     } catch (const nlohmann::json::exception& failure) {
         return fail(error_kind::malformed, failure.what());
     }
--- a/libs/config/tests/delta_test.cpp
+++ b/libs/config/tests/delta_test.cpp
@@ -46,6 +46,31 @@
     CHECK(*whole == newer);
 }
 
+configuration with_changes(std::uint64_t first, std::uint64_t last) {
+    auto value = with_services({last});
+    for (auto number = first; number <= last; ++number) {
+        value.head.recent_changes.push_back({.revision = config_revision{number},
+                                             .change_id = "c" + std::to_string(number),
+                                             .summary = "drain",
+                                             .accepted_at = from_unix_ms(1000)});
+    }
+    return value;
+}
+
+// Guards against receivers that refuse every operator's change because their head lacks the list of recent
+// changes, and against a list that grows without limit or keeps other changes than the writer's.
+TEST_CASE("ConfigDeltaTest.RecentChangesTravelAndStayBounded") {
+    const std::uint64_t first = 5;
+    const auto base = with_changes(first, first + max_recent_changes - 1);
+    const auto newer = with_changes(first + 3, first + max_recent_changes + 2);
+    const auto decoded = delta_from_json(to_json(make_delta(newer, base.head.revision)));
+    REQUIRE(decoded.has_value());
+    CHECK(decoded->recent_changes.size() == 3);
+    const auto applied = apply_delta(base, *decoded);
+    REQUIRE(applied.has_value());
+    CHECK(*applied == newer);
+}
+
 // Guards against exceptions from a damaged answer of a peer.
 TEST_CASE("ConfigDeltaTest.DamagedJsonIsMalformed") {
     const auto whole = to_json(make_delta(with_services({1}), config_revision{0}));
