--- a/apps/entry/packet_thread.cpp
+++ b/apps/entry/packet_thread.cpp
@@ -196,7 +196,10 @@
                 continue;
             }
             counters_.from_peers.add();
-            note_activity(now);
+            // Questions of peers go on as long as the daemon is listed and must not prolong its planned stop.
+            if (header->kind == relay_kind::ask_owner || header->kind == relay_kind::answer) {
+                note_activity(now);
+            }
             apply(state_,
                   relay_packet{.sender = one.source.address,
                                .header = *header,
@@ -266,10 +269,8 @@
         counters_.relays[static_cast<std::size_t>(effect.relay.kind)]->add();
         if (effect.relay.kind == relay_kind::hand_over) {
             counters_.hand_over_bytes.add(size);
-        } else if (effect.relay.kind == relay_kind::ask_owner || effect.relay.kind == relay_kind::answer) {
-            counters_.relay_header_bytes.add(gue_base_header_size + relay_header_size);
         } else {
-            counters_.relay_query_bytes.add(size);
+            counters_.relay_header_bytes.add(gue_base_header_size + relay_header_size);
         }
     }
 
