Place no new flow while a paused daemon refreshes; name the daemon's threads

Cause: entry_context::refreshing was set after a pause but the packet path did not read it, so a woken daemon could place a new flow on an upstream that had been drained meanwhile. Control CPU could not be told from data-path CPU. The partition fault did not cut relays. The load tool sent no attempt number, so a retry after not_run was refused by design. Change: drop reason 'refreshing', thread names, blocked_peers on the relay socket, field attempt. Conclusion: known flows go on during the refresh.

--- a/apps/entry/control_thread.cpp
+++ b/apps/entry/control_thread.cpp
@@ -5,6 +5,7 @@
 #include <guavaramp/base/hash.hpp>
 #include <guavaramp/config/delta.hpp>
 #include <guavaramp/telemetry/log.hpp>
+#include <guavaramp/telemetry/thread_name.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -75,7 +76,10 @@
     advance(vm_list_received{.listed = seeds()});
     platform_ = std::make_unique<platform_duty>(store_, store_, to_string(context_.settings.address),
                                                 context_.stopped);
-    thread_ = std::thread{[this] { run(); }};
+    thread_ = std::thread{[this] {
+        name_thread("control");
+        run();
+    }};
 }
 
 control_thread::~control_thread() {
--- a/apps/entry/packet_thread.cpp
+++ b/apps/entry/packet_thread.cpp
@@ -6,11 +6,13 @@
 #include <guavaramp/net/udp_socket.hpp>
 #include <guavaramp/packet/gue.hpp>
 #include <guavaramp/telemetry/log.hpp>
+#include <guavaramp/telemetry/thread_name.hpp>
 
 #include <array>
 #include <chrono>
 #include <future>
 #include <mutex>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -95,6 +97,7 @@
 
 private:
     void run() {
+        name_thread("packet");
         const std::array<const udp_socket*, 2> sockets{&packet_socket_, &relay_socket_};
         auto next_tick = std::chrono::steady_clock::now();
         while (!ending_) {
@@ -125,6 +128,11 @@
                 set_members(state_, *members, now);
             }
         }
+        if (const auto version = context_.blocked_peers.version(); version != blocked_version_) {
+            blocked_version_ = version;
+            blocked_peers_ = context_.blocked_peers.get();
+        }
+        state_.refreshing = context_.refreshing;
         if (context_.leaving && !state_.leaving) {
             set_leaving(state_, now);
         }
@@ -189,6 +197,9 @@
     void steer_relays(std::span<const datagram> batch, steering_time now) {
         parse(batch);
         for (const auto& one : parsed_) {
+            if (is_blocked(one.source.address)) {
+                continue;
+            }
             const auto header = decode_relay(one.extension, one.source.address, context_.settings.address,
                                              context_.settings.keys, replays_, one.inner);
             if (!header) {
@@ -258,7 +269,15 @@
                           buffer_);
     }
 
+    /// Whether a fault injected for tests cuts this daemon off from the peer.
+    [[nodiscard]] bool is_blocked(const ip_address& peer) const {
+        return blocked_peers_ && blocked_peers_->contains(peer);
+    }
+
     void send_relay(const send_effect& effect) {
+        if (is_blocked(effect.destination.address)) {
+            return;
+        }
         const relay_envelope envelope{.sender = context_.settings.address,
                                       .receiver = effect.destination.address,
                                       .incarnation = context_.incarnation,
@@ -324,6 +343,8 @@
     std::uint64_t relay_sequence_{0};
     std::uint64_t config_version_{0};
     std::uint64_t members_version_{0};
+    std::uint64_t blocked_version_{0};
+    std::shared_ptr<const std::set<ip_address>> blocked_peers_;
     std::mutex query_mutex_;  // the ring has one producer; HTTP threads take turns
     ring<query> queries_;
     std::atomic<bool> ending_{false};
--- a/apps/entry/platform_duty.cpp
+++ b/apps/entry/platform_duty.cpp
@@ -2,6 +2,7 @@
 
 #include <guavaramp/platform/config_cleanup.hpp>
 #include <guavaramp/platform/config_loader.hpp>
+#include <guavaramp/telemetry/thread_name.hpp>
 
 namespace guavaramp {
 namespace {
@@ -29,8 +30,14 @@
       load_jobs_(ring_capacity),
       watch_answers_(ring_capacity),
       load_answers_(ring_capacity),
-      watch_thread_([this] { run_watches(); }),
-      load_thread_([this] { run_loads(); }) {}
+      watch_thread_([this] {
+          name_thread("control-watch");
+          run_watches();
+      }),
+      load_thread_([this] {
+          name_thread("control-load");
+          run_loads();
+      }) {}
 
 platform_duty::~platform_duty() {
     watch_thread_.join();
--- a/apps/entry/query_service.cpp
+++ b/apps/entry/query_service.cpp
@@ -4,6 +4,7 @@
 #include <guavaramp/base/hash.hpp>
 #include <guavaramp/base/rendezvous.hpp>
 #include <guavaramp/telemetry/log.hpp>
+#include <guavaramp/telemetry/thread_name.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -217,7 +218,10 @@
       peer_tasks_(1, most_waiting_questions),
       command_tasks_(command_threads, most_waiting_commands) {
     add_routes();
-    records_thread_ = std::thread{[this] { run_records(); }};
+    records_thread_ = std::thread{[this] {
+        name_thread("records");
+        run_records();
+    }};
 }
 
 query_service::~query_service() {
--- a/apps/entry/request_thread.cpp
+++ b/apps/entry/request_thread.cpp
@@ -5,6 +5,7 @@
 #include <guavaramp/base/ring.hpp>
 #include <guavaramp/requests/owner_history.hpp>
 #include <guavaramp/requests/request_table.hpp>
+#include <guavaramp/telemetry/thread_name.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -676,7 +677,10 @@
 
 request_thread::request_thread(entry_context& context) : state_(std::make_unique<state>(context)) {
     state_->add_routes();
-    state_->thread = std::thread{[this] { state_->run(); }};
+    state_->thread = std::thread{[this] {
+        name_thread("requests");
+        state_->run();
+    }};
 }
 
 request_thread::~request_thread() {
--- a/apps/load/request_engine.cpp
+++ b/apps/load/request_engine.cpp
@@ -143,6 +143,7 @@
                     {"class", options.urgency},
                     {"deadline_ms", request.deadline_ms},
                     {"idempotent", options.idempotent},
+                    {"attempt", request.attempts - 1},
                     {"first_sent_ms", request.first_sent_ms},
                     {"body", request.body}};
     http_call call{.method = "POST",
--- a/libs/flow/include/guavaramp/flow/steering.hpp
+++ b/libs/flow/include/guavaramp/flow/steering.hpp
@@ -42,6 +42,7 @@
     probe_answer,           ///< an answer to a probe, consumed
     reset_of_unknown_flow,  ///< a host's RST for a flow that is not known here
     unconfirmed_reset,      ///< a host does not know a flow last heard of long ago; its owner is asked again
+    refreshing,             ///< a new flow while the daemon brings itself up to date after a pause
     count_                  ///< number of reasons
 };
 
@@ -166,6 +167,8 @@
     std::vector<steering_peer> peers;  ///< own failure domain, the local daemon included
     mono_time membership_changed;
     bool leaving{false};
+    /// The process was paused: its configuration and members may be old, so it places no new flow.
+    bool refreshing{false};
     flow_table flows;
     placement_state placement;
     std::unordered_map<std::uint64_t, resolution> resolving;  ///< by flow hash
--- a/libs/flow/src/resolution.cpp
+++ b/libs/flow/src/resolution.cpp
@@ -195,6 +195,10 @@
            steering_effects& out) {
     const auto id = id_of(flow_from_caller(packet), target.id, hash);
     auto* entry = state.flows.find(id);
+    if (entry == nullptr && state.refreshing) {
+        out.drops.push_back(drop_reason::refreshing);
+        return;
+    }
     if (entry == nullptr) {
         const auto choice = choose_for(state, packet, target, hash, now);
         if (choice.host == nullptr) {
--- a/libs/flow/src/steering.cpp
+++ b/libs/flow/src/steering.cpp
@@ -41,7 +41,8 @@
     "late_answer",
     "probe_answer",
     "reset_of_unknown_flow",
-    "unconfirmed_reset"};
+    "unconfirmed_reset",
+    "refreshing"};
 
 /// A flow key of a TCP packet whose caller reuses an earlier flow's port while that flow's upstream takes no
 /// new work.
--- a/libs/flow/tests/steering_test.cpp
+++ b/libs/flow/tests/steering_test.cpp
@@ -406,6 +406,29 @@
     }
 }
 
+// Guards against new flows placed by a daemon that was paused and whose configuration may name a drained
+// upstream.
+TEST_CASE("SteeringTest.ADaemonThatRefreshesAfterAPauseForwardsKnownFlowsAndPlacesNone") {
+    auto fleet = make_fleet(1, 1);
+    auto flows = open_flows(*fleet, 20);
+    for (auto& [address, vm] : fleet->vms) {
+        vm->refreshing = true;
+    }
+    auto late = make_flow(500, dispatch_address);
+    fleet->send(late, fleet->any_vm(), tcp_flag::syn, 0);
+    for (auto& flow : flows) {
+        send_data(*fleet, *flow);
+    }
+    fleet->run(seconds{1});
+    CHECK(fleet->drops[drop_reason::refreshing] > 0);
+    for (const auto& flow : flows) {
+        CHECK(flow->acknowledged);
+    }
+    for (const auto& [address, host] : fleet->hosts) {
+        CHECK(host.connections.count(late.key) == 0);
+    }
+}
+
 // Guards against established flows that suffer when the table is full of others.
 TEST_CASE("SteeringTest.AFullTableKeepsEstablishedFlows") {
     auto fleet = std::make_unique<fake_fleet>(1);
