Let a daemon that starts without peers read 100 values a second

Cause: with 1,600 services the platform client's budget of 20 calls a second made a start without peers last (1600 - 100) / 20 = 75 s; 'scripts/capacity measure' gave up after 8 s and again after 60 s. Ruled out: a larger budget; the 8 watchers together stay below half of the platform's 2,000 reads a second.

--- a/libs/platform/include/guavaramp/platform/http_key_value_store.hpp
+++ b/libs/platform/include/guavaramp/platform/http_key_value_store.hpp
@@ -24,10 +24,10 @@
 [[nodiscard]] const char* to_string(platform_call kind) noexcept;
 
 struct http_key_value_store_options {
-    std::string base_url;         ///< for example "http://127.40.0.1:6090"
-    double calls_per_second{20};  ///< budget of this daemon; the platform serves about 2,000 for all users
-    double burst{100};            ///< a start or a change reads one value a service
-    std::uint64_t seed{1};        ///< of the jitter
+    std::string base_url;          ///< for example "http://127.40.0.1:6090"
+    double calls_per_second{100};  ///< budget of this daemon; the platform serves about 2,000 for all users
+    double burst{200};             ///< a start without peers reads one value for each of 1,600 services
+    std::uint64_t seed{1};         ///< of the jitter
 };
 
 /// The platform over HTTP. Each call blocks until an answer, a definite failure or its deadline. Calls that
