--- a/scripts/experiments/capacity.py
+++ b/scripts/experiments/capacity.py
@@ -108,7 +108,8 @@
     """Draws measured points, the fit and the design size."""
     shape = (lambda x: math.log(x)) if logarithmic else (lambda x: x)
     start, slope = fit_line([(shape(x), y) for x, y in points])
-    value = start + slope * shape(design)
+    # Noise can make a flat slope negative; the design size never counts less than the largest measurement.
+    value = max(start + slope * shape(design), max(y for _, y in points))
     data = "\n".join(f"{x} {y}" for x, y in points)
     formula = f"{start} + {slope} * {'log(x)' if logarithmic else 'x'}"
     low = min(x for x, _ in points)
@@ -155,7 +156,7 @@
     started = [(item["daemons"], item["control_bytes_per_second"]) for item in slopes["by_daemons"]]
     cpu_field = "control_thread_cpu_s_per_s"
     cpu = [(item["daemons"], item[cpu_field]) for item in slopes["by_daemons"]]
-    force = [(item["daemons"], max(item["change_in_force_s"])) for item in fleets]
+    force = [(item["daemons"], round(max(item["change_in_force_s"]), 3)) for item in fleets]
     by_changes = slopes["by_changes"]
     change_slope = (by_changes[1]["control_bytes_per_second"] - by_changes[0]["control_bytes_per_second"]) / \
         by_changes[1]["changes_per_minute"]
@@ -195,7 +196,7 @@
 
 Design size: {DAEMONS} daemons, {HOSTS:,} hosts, {SERVICES:,} service addresses, {OPEN_FLOWS / 1e6:.1f} million open flows, {NEW_FLOWS_PER_S:,} new flows a second, {CHANGES_PER_DAY:,} changes a day, 2 regions with {DOMAINS} failure domains. Budget per daemon for control: 4.6% of a core, 64 MB, 19 KB a second.
 
-This page is written by `scripts/capacity page` from the data in `docs/capacity`; edit the script, not the page. All figures are from one shared machine with 10 noisy cores, real daemons on loopback, up to 81 of them. Everything beyond 81 daemons is extrapolated by the fit that is named.
+This page is written by `scripts/capacity page` from the data in `docs/capacity`; edit the script, not the page. All figures are from one shared machine with 10 noisy cores, real daemons on loopback, up to 81 of them. Everything beyond 81 daemons is extrapolated by the fit that is named; where noise gives a negative slope, the largest measurement is taken. CPU is read in ticks of 10 ms over 4 s, so one step is 0.25% of a core. The two points against open flows differ by noise, and their fit is an upper bound.
 
 ## Summary
 
