Fuzz control messages, commands, requests and host answers

Cause: four of eight decoders had no fuzz target. Change: targets control, language, client_request, host_answer. The first run (--runs 20000) ended the process: the CBOR library throws for an array length near 2^64 although exceptions are off, outside the decoder's try block. A holder of the fleet key could have ended a peer's control thread. Conclusion: every decoder that reads bytes from outside has a target.

--- a/apps/fuzz/target.cpp
+++ b/apps/fuzz/target.cpp
@@ -1,8 +1,11 @@
 #include "target.hpp"
 
 #include <guavaramp/config/model.hpp>
+#include <guavaramp/membership/control_message.hpp>
 #include <guavaramp/packet/gue.hpp>
 #include <guavaramp/packet/ip.hpp>
+#include <guavaramp/record/language.hpp>
+#include <guavaramp/requests/request.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -87,6 +90,42 @@
     }
 }
 
+std::string control_seed() {
+    const member local{
+        .address = from_ipv4(0x7f0a0101), .failure_domain = "hai-chau", .region = "r", .incarnation = 7};
+    const auto bytes = encode_message({.number = 3, .sender = local, .updates = {local, local}});
+    return as_text(bytes);
+}
+
+void run_control(std::span<const std::byte> bytes) {
+    const auto decoded = decode_message(bytes);
+    if (decoded) {
+        require(decode_message(encode_message(*decoded)) == *decoded,
+                "a control message survives a round trip");
+    }
+}
+
+void run_language(std::span<const std::byte> bytes) {
+    const std::string text = as_text(bytes);
+    const auto parsed = parse_statement(text);
+    if (!parsed) {
+        const auto& failure = parsed.error();
+        require(failure.position + failure.length <= text.size(), "an error's position is inside the text");
+        return;
+    }
+    require(parse_statement(to_string(*parsed)).has_value(), "the canonical text of a command is a command");
+}
+
+void run_client_request(std::span<const std::byte> bytes) {
+    constexpr std::int64_t now_ms = 1'800'000'000'000;
+    static_cast<void>(parse_client_request(as_text(bytes), now_ms));
+}
+
+void run_host_answer(std::span<const std::byte> bytes) {
+    constexpr int ok = 200;
+    static_cast<void>(parse_host_answer(ok, as_text(bytes), "id-1"));
+}
+
 }  // namespace
 
 std::vector<fuzz_target> all_fuzz_targets() {
@@ -94,6 +133,17 @@
         {.name = "gue", .seeds = {gue_seed()}, .run = run_gue},
         {.name = "ip", .seeds = {packet_seed(transport::tcp), packet_seed(transport::udp)}, .run = run_ip},
         {.name = "configuration", .seeds = {configuration_seed()}, .run = run_configuration},
+        {.name = "control", .seeds = {control_seed()}, .run = run_control},
+        {.name = "language",
+         .seeds = {"show flows of dispatch on h07 limit 10", "why flow 10.0.0.7:4312 -> 10.9.0.1:443",
+                   "drain upstream dispatch/h07 at 22:00", "broken flows last 1h by cause",
+                   "add upstream dispatch/h15 address 127.20.0.15 weight 100"},
+         .run = run_language},
+        {.name = "client_request",
+         .seeds = {R"({"service":"dispatch","id":"id-1","class":"urgent","deadline_ms":1800000001000,)"
+                   R"("idempotent":false,"first_sent_ms":1800000000000,"attempt":0,"body":"x"})"},
+         .run = run_client_request},
+        {.name = "host_answer", .seeds = {R"({"id":"id-1","length":1,"body":"x"})"}, .run = run_host_answer},
         {.name = "endpoint", .seeds = {"10.0.0.1:80", "[2001:db8::1]:443"}, .run = run_endpoint}};
 }
 
--- a/libs/membership/tests/control_message_test.cpp
+++ b/libs/membership/tests/control_message_test.cpp
@@ -87,5 +87,14 @@
     });
 }
 
+// Guards against an exception that ends the control thread: guavaramp-fuzz (target control, seed 20261204)
+// found that an array length near 2^64 makes the CBOR library throw although it was told not to.
+TEST_CASE("ControlMessageTest.AnArrayLengthBeyondTheMaximumIsMalformed") {
+    const std::vector<std::uint8_t> bytes{0x9b, 0x9b, 0x9b, 0x9b, 0x9b, 0x9b, 0x9b, 0x9b, 0x9b};
+    const auto decoded = decode_message(std::as_bytes(std::span{bytes}));
+    REQUIRE_FALSE(decoded.has_value());
+    CHECK(decoded.error().kind == error_kind::malformed);
+}
+
 }  // namespace
 }  // namespace guavaramp
