Rank entry VMs by one key, check statuses and blocked peers in one place

Cause: the read-through found that steering hashed VM addresses with a seed of its own, while the query service ranked the candidates of a flow without it. The same hash stood in four files, the status check of the platform client in eight calls, and the lookup of blocked peers twice. Change: rendezvous_key in base serves steering, queries, request owners and watchers; http_key_value_store::call_expecting; is_blocked in entry_context. Conclusion: which VM owns a flow changes once with this version; nothing else changes its behaviour.

--- a/apps/entry/control_thread.cpp
+++ b/apps/entry/control_thread.cpp
@@ -108,8 +108,7 @@
 }
 
 bool control_thread::is_blocked(const ip_address& peer) const {
-    const auto blocked = context_.blocked_peers.get();
-    return blocked && blocked->contains(peer);
+    return guavaramp::is_blocked(context_, peer);
 }
 
 void control_thread::accept(configuration accepted) {
--- a/apps/entry/entry_context.hpp
+++ b/apps/entry/entry_context.hpp
@@ -42,4 +42,10 @@
     std::atomic<std::int64_t> requests_in_progress{0};
 };
 
+/// Whether fault injection cuts the daemon off from `peer`. Thread-safe.
+[[nodiscard]] inline bool is_blocked(const entry_context& context, const ip_address& peer) {
+    const auto blocked = context.blocked_peers.get();
+    return blocked && blocked->contains(peer);
+}
+
 }  // namespace guavaramp
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -126,11 +126,7 @@
          .refresh_now = [&control] { (*control)->refresh_now(); },
          .accept = [&control](configuration accepted) { (*control)->accept(std::move(accepted)); },
          .confirm = [&control](config_revision revision) { (*control)->confirm(revision); },
-         .is_blocked =
-             [&context](const ip_address& peer) {
-                 const auto blocked = context.blocked_peers.get();
-                 return blocked && blocked->contains(peer);
-             }}};
+         .is_blocked = [&context](const ip_address& peer) { return is_blocked(context, peer); }}};
     auto started_packets = packet_thread::start(
         context, {.on_flow_ended = [&queries](const flow_record& record) { queries.record_ended(record); },
                   .on_newer_config = [&control](const ip_address&) { (*control)->refresh_now(); }});
--- a/apps/entry/query_service.cpp
+++ b/apps/entry/query_service.cpp
@@ -103,16 +103,12 @@
     return to_response({.failure = kind, .message = message});
 }
 
-std::uint64_t member_key(const member& value) {
-    return hash_bytes(std::as_bytes(std::span{value.address.bytes}));
-}
-
 std::vector<member> in_rendezvous_order(const std::vector<member>& members, std::uint64_t item,
                                         std::size_t count) {
     std::vector<rendezvous_node> nodes;
     nodes.reserve(members.size());
     for (const auto& value : members) {
-        nodes.push_back({.key = member_key(value)});
+        nodes.push_back({.key = rendezvous_key(value.address)});
     }
     std::vector<member> ordered;
     for (const auto index : rendezvous_order(nodes, item, count)) {
--- a/libs/base/include/guavaramp/base/rendezvous.hpp
+++ b/libs/base/include/guavaramp/base/rendezvous.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <guavaramp/base/address.hpp>
+
 #include <cstddef>
 #include <cstdint>
 #include <span>
@@ -14,6 +16,10 @@
     double weight{1.0};
 };
 
+/// Key of the process at `address`. Every ranking of entry VMs uses it, so that a VM that only looks for an
+/// owner ranks as the owner itself does. Thread-safe.
+[[nodiscard]] std::uint64_t rendezvous_key(const ip_address& address) noexcept;
+
 /// Score of `node` for `item` (Thaler and Ravishankar, 1998; the logarithmic weighting of Schindelhauer and
 /// Schomaker, 2005): -weight / ln(u), u uniform in (0, 1) from the mixed hash. The node with the highest
 /// score wins; a node's share is its weight over the sum. Thread-safe.
--- a/libs/base/src/rendezvous.cpp
+++ b/libs/base/src/rendezvous.cpp
@@ -6,6 +6,10 @@
 
 namespace guavaramp {
 
+std::uint64_t rendezvous_key(const ip_address& address) noexcept {
+    return hash_bytes(std::as_bytes(std::span{address.bytes}));
+}
+
 double rendezvous_score(const rendezvous_node& node, std::uint64_t item) noexcept {
     if (node.weight <= 0.0) {
         return 0.0;
--- a/libs/config/src/spread.cpp
+++ b/libs/config/src/spread.cpp
@@ -242,7 +242,7 @@
     std::vector<ip_address> addresses;
     for (const auto& item : state.members.members) {
         if (is_live(item) && item.failure_domain == state.failure_domain) {
-            nodes.push_back({.key = hash_bytes(std::as_bytes(std::span{item.address.bytes}))});
+            nodes.push_back({.key = rendezvous_key(item.address)});
             addresses.push_back(item.address);
         }
     }
--- a/libs/flow/src/steering_view.cpp
+++ b/libs/flow/src/steering_view.cpp
@@ -1,6 +1,7 @@
 #include "steering_internal.hpp"
 
 #include <guavaramp/base/hash.hpp>
+#include <guavaramp/base/rendezvous.hpp>
 
 #include <algorithm>
 
@@ -13,7 +14,6 @@
 constexpr std::size_t latency_samples = 4096;
 // A planned stop may spend the control budget of a daemon on handing over UDP flows.
 constexpr double hand_over_bytes_per_second = 3000.0;
-constexpr std::uint64_t peer_key_seed = 1;
 
 const service* service_of(const steering_state& state, service_id id) {
     return state.config ? state.config->find_service(id) : nullptr;
@@ -35,7 +35,7 @@
 steering_peer make_peer(const steering_state& state, const ip_address& address, bool can_own) {
     const auto known = std::ranges::find(state.peers, address, &steering_peer::address);
     steering_peer peer = known == state.peers.end() ? steering_peer{.address = address} : *known;
-    peer.key = hash_bytes(std::as_bytes(std::span{address.bytes}), peer_key_seed);
+    peer.key = rendezvous_key(address);
     peer.can_own = can_own;
     return peer;
 }
--- a/libs/flow/tests/steering_test.cpp
+++ b/libs/flow/tests/steering_test.cpp
@@ -1,5 +1,7 @@
 #include "fake_fleet.hpp"
 
+#include <guavaramp/base/rendezvous.hpp>
+
 #include <property.hpp>
 
 #include <algorithm>
@@ -429,6 +431,26 @@
     }
 }
 
+// Guards against questions that are sent to the wrong entry VMs: in large fleets only the candidates of a
+// flow are asked, ranked with rendezvous_key, while steering ranked them with a seed of its own.
+TEST_CASE("SteeringTest.TheOwnerIsTheFirstInTheSharedRendezvousOrder") {
+    auto fleet = make_fleet(1, 40);
+    std::vector<ip_address> addresses;
+    std::vector<rendezvous_node> nodes;
+    for (const auto& [address, vm] : fleet->vms) {
+        addresses.push_back(address);
+        nodes.push_back({.key = rendezvous_key(address)});
+    }
+    for (std::uint32_t number = 0; number < 50; ++number) {
+        const auto flow = make_flow(number, dispatch_address);
+        const auto preview = preview_placement(*fleet->vms.begin()->second, flow.key, fleet->now);
+        REQUIRE(preview.has_value());
+        const auto order = rendezvous_order(nodes, hash_flow(flow.key), 2);
+        CHECK(preview->owner == addresses[order[0]]);
+        CHECK(preview->next_owner == addresses[order[1]]);
+    }
+}
+
 // Guards against established flows that suffer when the table is full of others.
 TEST_CASE("SteeringTest.AFullTableKeepsEstablishedFlows") {
     auto fleet = std::make_unique<fake_fleet>(1);
--- a/libs/platform/include/guavaramp/platform/http_key_value_store.hpp
+++ b/libs/platform/include/guavaramp/platform/http_key_value_store.hpp
@@ -80,6 +80,10 @@
     };
 
     [[nodiscard]] result<http_response> call(const request& wanted, mono_time deadline);
+
+    /// `call`, with every status but 200 and `other_status` turned into its error.
+    [[nodiscard]] result<http_response> call_expecting(const request& wanted, mono_time deadline,
+                                                       int other_status = 200);
     [[nodiscard]] http_outcome attempt(const request& wanted, mono_time deadline);
     [[nodiscard]] result<void> wait_for_turn(mono_time deadline);
     [[nodiscard]] result<void> put_off(mono_time deadline);
--- a/libs/platform/src/http_key_value_store.cpp
+++ b/libs/platform/src/http_key_value_store.cpp
@@ -202,18 +202,25 @@
     }
 }
 
+result<http_response> http_key_value_store::call_expecting(const request& wanted, mono_time deadline,
+                                                           int other_status) {
+    auto response = call(wanted, deadline);
+    if (response && response->status != status_ok && response->status != other_status) {
+        return tl::make_unexpected(error_of(*response));
+    }
+    return response;
+}
+
 result<std::optional<stored_value>> http_key_value_store::get(const std::string& key, mono_time deadline) {
     auto response =
-        call({.kind = platform_call::get, .method = "GET", .path = "/v1/kv/" + encode(key)}, deadline);
+        call_expecting({.kind = platform_call::get, .method = "GET", .path = "/v1/kv/" + encode(key)},
+                       deadline, status_not_found);
     if (!response) {
         return tl::make_unexpected(response.error());
     }
     if (response->status == status_not_found) {
         return std::nullopt;
     }
-    if (response->status != status_ok) {
-        return tl::make_unexpected(error_of(*response));
-    }
     return decode_body(*response, [](const json& body) { return std::optional{decode_stored(body)}; });
 }
 
@@ -225,18 +232,15 @@
 result<std::uint64_t> http_key_value_store::put_with_lease(const std::string& key, const std::string& value,
                                                            std::uint64_t if_revision, std::uint64_t lease,
                                                            mono_time deadline) {
-    auto response = call({.kind = platform_call::put,
-                          .method = "PUT",
-                          .path = "/v1/kv/" + encode(key),
-                          .body = put_body(value, if_revision, lease),
-                          .writes = true},
-                         deadline);
+    auto response = call_expecting({.kind = platform_call::put,
+                                    .method = "PUT",
+                                    .path = "/v1/kv/" + encode(key),
+                                    .body = put_body(value, if_revision, lease),
+                                    .writes = true},
+                                   deadline);
     if (!response) {
         return tl::make_unexpected(response.error());
     }
-    if (response->status != status_ok) {
-        return tl::make_unexpected(error_of(*response));
-    }
     return decode_body(*response, [](const json& body) { return body.at("revision").get<std::uint64_t>(); });
 }
 
@@ -251,49 +255,40 @@
     if (lease != 0) {
         path += "&lease=" + std::to_string(lease);
     }
-    auto response =
-        call({.kind = platform_call::remove, .method = "DELETE", .path = path, .writes = true}, deadline);
+    auto response = call_expecting(
+        {.kind = platform_call::remove, .method = "DELETE", .path = path, .writes = true}, deadline);
     if (!response) {
         return tl::make_unexpected(response.error());
     }
-    if (response->status != status_ok) {
-        return tl::make_unexpected(error_of(*response));
-    }
     return {};
 }
 
 result<std::optional<stored_value>> http_key_value_store::watch(const std::string& key, std::uint64_t after,
                                                                 mono_time deadline) {
     const auto timeout = std::max<milliseconds>(milliseconds{1}, until(deadline) - watch_margin);
-    auto response = call({.kind = platform_call::watch,
-                          .method = "GET",
-                          .path = "/v1/watch/" + encode(key) + "?after=" + std::to_string(after) +
-                                  "&timeout_ms=" + std::to_string(timeout.count()),
-                          .waits = true},
-                         deadline);
+    auto response = call_expecting({.kind = platform_call::watch,
+                                    .method = "GET",
+                                    .path = "/v1/watch/" + encode(key) + "?after=" + std::to_string(after) +
+                                            "&timeout_ms=" + std::to_string(timeout.count()),
+                                    .waits = true},
+                                   deadline, status_no_content);
     if (!response) {
         return tl::make_unexpected(response.error());
     }
     if (response->status == status_no_content) {
         return std::nullopt;
     }
-    if (response->status != status_ok) {
-        return tl::make_unexpected(error_of(*response));
-    }
     return decode_body(*response, [](const json& body) { return std::optional{decode_stored(body)}; });
 }
 
 result<std::vector<std::pair<std::string, std::uint64_t>>> http_key_value_store::list(
     const std::string& prefix, mono_time deadline) {
-    auto response = call(
+    auto response = call_expecting(
         {.kind = platform_call::list, .method = "GET", .path = "/v1/list?prefix=" + encode(prefix, false)},
         deadline);
     if (!response) {
         return tl::make_unexpected(response.error());
     }
-    if (response->status != status_ok) {
-        return tl::make_unexpected(error_of(*response));
-    }
     return decode_body(*response, [](const json& body) {
         std::vector<std::pair<std::string, std::uint64_t>> keys;
         for (const auto& item : body.at("keys")) {
@@ -304,13 +299,11 @@
 }
 
 result<std::vector<listed_vm>> http_key_value_store::vms(mono_time deadline) {
-    auto response = call({.kind = platform_call::vms, .method = "GET", .path = "/v1/vms"}, deadline);
+    auto response =
+        call_expecting({.kind = platform_call::vms, .method = "GET", .path = "/v1/vms"}, deadline);
     if (!response) {
         return tl::make_unexpected(response.error());
     }
-    if (response->status != status_ok) {
-        return tl::make_unexpected(error_of(*response));
-    }
     return decode_body(*response, [](const json& body) {
         std::vector<listed_vm> list;
         for (const auto& item : body.at("vms")) {
@@ -321,33 +314,27 @@
 }
 
 result<std::uint64_t> http_key_value_store::grant_lease(milliseconds duration, mono_time deadline) {
-    auto response = call({.kind = platform_call::lease,
-                          .method = "POST",
-                          .path = "/v1/leases",
-                          .body = json{{"duration_ms", duration.count()}}.dump(),
-                          .writes = true},
-                         deadline);
+    auto response = call_expecting({.kind = platform_call::lease,
+                                    .method = "POST",
+                                    .path = "/v1/leases",
+                                    .body = json{{"duration_ms", duration.count()}}.dump(),
+                                    .writes = true},
+                                   deadline);
     if (!response) {
         return tl::make_unexpected(response.error());
     }
-    if (response->status != status_ok) {
-        return tl::make_unexpected(error_of(*response));
-    }
     return decode_body(*response, [](const json& body) { return body.at("id").get<std::uint64_t>(); });
 }
 
 result<void> http_key_value_store::renew_lease(std::uint64_t lease, mono_time deadline) {
-    auto response = call({.kind = platform_call::lease,
-                          .method = "POST",
-                          .path = "/v1/leases/" + std::to_string(lease) + "/renew",
-                          .writes = true},
-                         deadline);
+    auto response = call_expecting({.kind = platform_call::lease,
+                                    .method = "POST",
+                                    .path = "/v1/leases/" + std::to_string(lease) + "/renew",
+                                    .writes = true},
+                                   deadline);
     if (!response) {
         return tl::make_unexpected(response.error());
     }
-    if (response->status != status_ok) {
-        return tl::make_unexpected(error_of(*response));
-    }
     return {};
 }
 
--- a/libs/requests/src/owner_history.cpp
+++ b/libs/requests/src/owner_history.cpp
@@ -25,7 +25,7 @@
     const ip_address* best = &self;
     double best_score = -1.0;
     for (const auto& candidate : owners) {
-        const rendezvous_node node{.key = hash_bytes(std::as_bytes(std::span{candidate.bytes}))};
+        const rendezvous_node node{.key = rendezvous_key(candidate)};
         const double score = rendezvous_score(node, item);
         if (score > best_score) {
             best = &candidate;
