--- /dev/null
+++ b/apps/director/control_duty.cpp
@@ -0,0 +1,163 @@
+#include "control_duty.hpp"
+
+#include "store_reader.hpp"
+
+#include <guavaramp/base/token_bucket.hpp>
+#include <guavaramp/net/attached_http_server.hpp>
+#include <guavaramp/net/http_router.hpp>
+#include <guavaramp/telemetry/log.hpp>
+#include <guavaramp/telemetry/thread_name.hpp>
+
+#include <asio.hpp>
+
+#include <chrono>
+#include <thread>
+
+namespace guavaramp {
+namespace {
+
+/// Period of writing decisions to the log and of looking at what the packet thread wants.
+constexpr auto tick_period = std::chrono::milliseconds{100};
+/// Log lines about decisions: twice the new flows and requests a second of a daemon at the design size, and
+/// what a burst adds.
+constexpr double decision_lines_per_second = 200;
+constexpr double decision_lines_burst = 400;
+/// Connections of the routers' and the operators' health and metrics readers.
+constexpr std::size_t most_http_connections = 64;
+
+mono_time now() { return std::chrono::steady_clock::now(); }
+
+std::int64_t age_ms(mono_time then, mono_time time) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time - then).count();
+}
+
+class running_control_duty final : public control_duty {
+public:
+    explicit running_control_duty(director_context& context)
+        : context_(context), reader_(io_, context), tick_(io_) {}
+    running_control_duty(const running_control_duty&) = delete;
+    running_control_duty& operator=(const running_control_duty&) = delete;
+
+    ~running_control_duty() override {
+        if (thread_.joinable()) {
+            thread_.join();
+        }
+    }
+
+    [[nodiscard]] result<void> start() {
+        add_routes();
+        for (const auto& local : {context_.settings.status, context_.settings.metrics}) {
+            auto server = attach_http_server(
+                io_, {.local = local, .max_connections = most_http_connections},
+                [this](http_request request, const http_responder& respond) {
+                    router_.handle(std::move(request), respond);
+                });
+            if (!server) {
+                return tl::make_unexpected(server.error());
+            }
+            servers_.push_back(*std::move(server));
+        }
+        thread_ = std::thread{[this] { run(); }};
+        return {};
+    }
+
+private:
+    void run() {
+        name_thread("control");
+        reader_.start();
+        tick();
+        io_.run();
+        write_decisions();
+    }
+
+    void add_routes() {
+        router_.add("GET", "/v1/ready", [this](const http_request&, const http_responder& respond) {
+            respond({.status = is_ready() ? 200 : answer_for(error_kind::unavailable).http_status,
+                     .body = is_ready() ? R"({"status":"ready"})" : R"({"status":"not ready"})"});
+        });
+        router_.add("GET", "/metrics", [this](const http_request&, const http_responder& respond) {
+            respond({.content_type = "text/plain; version=0.0.4", .body = context_.counters.to_prometheus()});
+        });
+    }
+
+    [[nodiscard]] bool is_ready() const {
+        const auto view = context_.view.get();
+        return !context_.leaving && view != nullptr && view->routes != nullptr && view->upstreams != nullptr;
+    }
+
+    void tick() {
+        if (context_.stopped) {
+            io_.stop();
+            return;
+        }
+        if (context_.wants_listing.exchange(false)) {
+            reader_.want_newest_listing();
+        }
+        write_decisions();
+        tick_.expires_after(tick_period);
+        tick_.async_wait([this](const std::error_code& failure) {
+            if (!failure) {
+                tick();
+            }
+        });
+    }
+
+    void write_decisions() {
+        const auto time = now();
+        decision_record decided;
+        while (context_.decisions.pop(decided)) {
+            if (take_tokens(line_budget_, 1.0, time)) {
+                write_line(decided, time);
+            } else {
+                lines_suppressed_.add();
+            }
+        }
+        probe_record probe;
+        while (context_.probes.pop(probe)) {
+            write_line(probe);
+        }
+    }
+
+    void write_line(const decision_record& decided, mono_time time) {
+        log_event(log_level::info, "packet_decided",
+                  {{"flow", to_string(decided.flow)},
+                   {"request", decided.request_id.data()},
+                   {"outcome", std::string{to_string(decided.outcome)}},
+                   {"reason", std::string{to_string(decided.reason)}},
+                   {"upstream", reader_.name_of(steering_tag{decided.tag})},
+                   {"configuration", std::to_string(decided.configuration_version)},
+                   {"listing_age_ms", std::to_string(age_ms(decided.listing_as_of, decided.decided_at))},
+                   {"logged_after_ms", std::to_string(age_ms(decided.decided_at, time))}});
+    }
+
+    void write_line(const probe_record& probe) {
+        const char* outcome = probe.outcome == probe_outcome::connected ? "connected"
+                              : probe.outcome == probe_outcome::refused ? "refused"
+                                                                        : "silent";
+        log_event(log_level::info, probe.changed ? "upstream_reachability_changed" : "upstream_probed",
+                  {{"upstream", reader_.name_of(steering_tag{probe.tag})}, {"probe", outcome}});
+    }
+
+    director_context& context_;
+    asio::io_context io_{1};
+    store_reader reader_;
+    asio::steady_timer tick_;
+    http_router router_;
+    std::vector<std::unique_ptr<http_server>> servers_;
+    token_bucket line_budget_{make_token_bucket(decision_lines_per_second, decision_lines_burst, now())};
+    counter& lines_suppressed_{
+        context_.counters.get("log_lines_suppressed_total", "Decisions above the log's rate limit")};
+    std::thread thread_;
+};
+
+}  // namespace
+
+result<std::unique_ptr<control_duty>> control_duty::start(director_context& context) {
+    auto duty = std::make_unique<running_control_duty>(context);
+    if (auto started = duty->start(); !started) {
+        return tl::make_unexpected(started.error());
+    }
+    return duty;
+}
+
+}  // namespace guavaramp
--- /dev/null
+++ b/apps/director/main.cpp
@@ -0,0 +1,149 @@
+#include "control_duty.hpp"
+#include "packet_duty.hpp"
+
+#include <guavaramp/telemetry/log.hpp>
+
+#include <tclap/CmdLine.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <thread>
+
+namespace guavaramp {
+namespace {
+
+constexpr auto signal_poll_period = std::chrono::milliseconds{100};
+/// Routers ask twice a second and stop sending after two refusals; one more period is for packets under way.
+constexpr auto least_stop_time = std::chrono::milliseconds{1600};
+/// A stop is over when no packet has come for this long.
+constexpr auto quiet_before_stop = std::chrono::milliseconds{300};
+/// The platform ends a process by force 6 s after it asked for a stop.
+constexpr auto longest_stop_time = std::chrono::milliseconds{4500};
+
+volatile std::sig_atomic_t stop_signal = 0;
+volatile std::sig_atomic_t reload_signal = 0;
+
+void on_stop_signal(int number) { stop_signal = number; }
+void on_reload_signal(int number) { reload_signal = number; }
+
+mono_time now() { return std::chrono::steady_clock::now(); }
+
+mono_time last_packet(const director_context& context) {
+    return mono_time{std::chrono::milliseconds{context.last_packet_ms}};
+}
+
+/// The settings are read at start only: addresses cannot change under open sockets, and what the platform
+/// changes in them is learnt from its store.
+void report_reload(const std::string& settings_path) {
+    const auto settings = load_director_settings(settings_path);
+    if (settings) {
+        log_event(log_level::info, "settings_checked", {{"file", settings_path}, {"effect", "at the next start"}});
+    } else {
+        log_event(log_level::warning, "settings_refused", {{"message", settings.error().message}});
+    }
+}
+
+void wait_for_stop_signal(const std::string& settings_path) {
+    while (stop_signal == 0) {
+        std::this_thread::sleep_for(signal_poll_period);
+        if (reload_signal != 0) {
+            reload_signal = 0;
+            report_reload(settings_path);
+        }
+    }
+}
+
+/// Refuses readiness and goes on forwarding until the routers have turned elsewhere.
+void stop_gracefully(director_context& context) {
+    const auto started = now();
+    context.leaving = true;
+    log_event(log_level::info, "planned_stop_started", {{"signal", std::to_string(stop_signal)}});
+    while (now() < started + longest_stop_time) {
+        std::this_thread::sleep_for(signal_poll_period);
+        if (now() >= started + least_stop_time && now() >= last_packet(context) + quiet_before_stop) {
+            break;
+        }
+    }
+    log_event(log_level::info, "planned_stop_finished");
+}
+
+log_level parse_log_level(const std::string& text) {
+    if (text == "error") {
+        return log_level::error;
+    }
+    return text == "warning" ? log_level::warning : log_level::info;
+}
+
+int run(const std::string& settings_path, bool check_only) {
+    auto settings = load_director_settings(settings_path);
+    if (!settings) {
+        std::cerr << settings.error().message << '\n';
+        return answer_for(settings.error().kind).exit_status;
+    }
+    if (check_only) {
+        std::cout << settings_path << ": ok\n";
+        return 0;
+    }
+    std::signal(SIGTERM, on_stop_signal);
+    std::signal(SIGINT, on_stop_signal);
+    std::signal(SIGHUP, on_reload_signal);
+    std::signal(SIGPIPE, SIG_IGN);
+    start_log("guavaramp-director", parse_log_level(settings->log_level));
+    director_context context{.settings = *std::move(settings)};
+    log_event(log_level::info, "starting",
+              {{"vm", context.settings.vm}, {"failure_domain", context.settings.failure_domain}});
+    const auto fail_start = [&context](const error& failure) {
+        context.stopped = true;
+        log_event(log_level::error, "start_failed", {{"message", failure.message}});
+        return answer_for(failure.kind).exit_status;
+    };
+    auto control = control_duty::start(context);
+    if (!control) {
+        const int status = fail_start(control.error());
+        stop_log();
+        return status;
+    }
+    auto packets = packet_duty::start(context);
+    if (!packets) {
+        const int status = fail_start(packets.error());
+        control->reset();
+        stop_log();
+        return status;
+    }
+    wait_for_stop_signal(settings_path);
+    stop_gracefully(context);
+    context.stopped = true;
+    packets->reset();
+    control->reset();
+    stop_log();
+    return 0;
+}
+
+}  // namespace
+}  // namespace guavaramp
+
+int main(int argc, char** argv) {
+    try {
+        TCLAP::CmdLine command{"guavaramp-director: forwards callers' packets to upstreams", ' ',
+                               GUAVARAMP_VERSION};
+        const char* default_path = std::getenv("GUAVARAMP_CONFIG");
+        TCLAP::ValueArg<std::string> settings{
+            "s",    "settings", "Settings file (JSON with comments); GUAVARAMP_CONFIG when not given",
+            false,  default_path == nullptr ? "" : default_path,
+            "file", command};
+        TCLAP::SwitchArg check{"", "check-settings", "Check the settings file and exit", command};
+        command.setExceptionHandling(false);
+        command.parse(argc, argv);
+        return guavaramp::run(settings.getValue(), check.getValue());
+    } catch (const TCLAP::ExitException& exit) {
+        return exit.getExitStatus();
+    } catch (const TCLAP::ArgException& failure) {
+        std::cerr << "guavaramp-director: " << failure.error() << " " << failure.argId() << '\n';
+        return 2;
+    } catch (const std::exception& failure) {
+        std::cerr << "guavaramp-director: " << failure.what() << '\n';
+        return 70;
+    }
+}
--- /dev/null
+++ b/apps/director/packet_duty.cpp
@@ -0,0 +1,233 @@
+#include "packet_duty.hpp"
+
+#include "request_id.hpp"
+
+#include <guavaramp/net/tcp_probe.hpp>
+#include <guavaramp/net/udp_socket.hpp>
+#include <guavaramp/platform_adapter/packet_codec.hpp>
+#include <guavaramp/telemetry/thread_name.hpp>
+
+#include <poll.h>
+
+#include <algorithm>
+#include <thread>
+
+namespace guavaramp {
+namespace {
+
+using namespace platform_adapter;
+
+/// Longest wait for packets: bounds how late a planned stop is seen.
+constexpr auto longest_wait = std::chrono::milliseconds{250};
+/// Period of forgetting idle flows and of looking for probes that are due.
+constexpr auto housekeeping_period = std::chrono::milliseconds{500};
+constexpr std::size_t receive_buffer_bytes = 1U << 20U;
+
+mono_time now() { return std::chrono::steady_clock::now(); }
+
+std::int64_t to_ms(mono_time time) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
+probe_outcome to_probe_outcome(connect_outcome outcome) noexcept {
+    switch (outcome) {
+        case connect_outcome::connected:
+            return probe_outcome::connected;
+        case connect_outcome::refused:
+            return probe_outcome::refused;
+        case connect_outcome::silent:
+            return probe_outcome::silent;
+    }
+    return probe_outcome::silent;
+}
+
+/// Whether a decision gets a log line: everything but a packet that goes where the one before it went.
+bool is_logged(const decision& decided, const std::array<char, 40>& request_id) noexcept {
+    return decided.reason != decision_reason::known_flow || request_id[0] != '\0';
+}
+
+class running_packet_duty final : public packet_duty {
+public:
+    running_packet_duty(director_context& context, udp_socket socket)
+        : context_(context), socket_(std::move(socket)), thread_([this] { run(); }) {}
+    running_packet_duty(const running_packet_duty&) = delete;
+    running_packet_duty& operator=(const running_packet_duty&) = delete;
+    ~running_packet_duty() override { thread_.join(); }
+
+private:
+    void run() {
+        name_thread("packets");
+        while (!context_.stopped) {
+            wait();
+            refresh_view();
+            end_probes();
+            for (auto batch = socket_.receive(); !batch.empty(); batch = socket_.receive()) {
+                handle_batch(batch);
+            }
+            if (now() >= housekeeping_at_) {
+                keep_house();
+            }
+        }
+    }
+
+    void wait() {
+        const auto started = now();
+        const auto deadline = probes_.next_deadline(started + longest_wait);
+        polled_.clear();
+        polled_.push_back({.fd = socket_.native_handle(), .events = POLLIN, .revents = 0});
+        probes_.add_to_poll(polled_);
+        const auto wait_ms = std::chrono::ceil<std::chrono::milliseconds>(deadline - started).count();
+        poll(polled_.data(), polled_.size(), static_cast<int>(std::max<std::int64_t>(wait_ms, 0)));
+    }
+
+    void refresh_view() {
+        if (const auto version = context_.view.version(); version != view_version_) {
+            view_version_ = version;
+            view_ = context_.view.get();
+        }
+    }
+
+    void handle_batch(std::span<const datagram> batch) {
+        const auto time = now();
+        context_.last_packet_ms = to_ms(time);
+        for (const auto& received : batch) {
+            const auto packet = decode_packet(received.bytes);
+            if (!packet) {
+                malformed_.at(static_cast<std::size_t>(packet.error()))->add();
+                continue;
+            }
+            handle(*packet, received.bytes, time);
+        }
+        socket_.flush();
+    }
+
+    void handle(const flow_packet& packet, std::span<const std::byte> bytes, mono_time time) {
+        if (view_ == nullptr) {
+            decided_.at(static_cast<std::size_t>(decision_reason::no_configuration))->add();
+            return;
+        }
+        const auto decided = decide(state_, *view_, packet, time);
+        decided_.at(static_cast<std::size_t>(decided.reason))->add();
+        if (decided.outcome == verdict::forward) {
+            const auto& target = decided.target->report;
+            socket_.send({.address = from_ipv4(target.address), .port = target.port},
+                         encode_delivery(bytes, target.delivery_id, decided.tag, delivery_));
+        } else if (decided.outcome == verdict::reset) {
+            socket_.send({.address = from_ipv4(packet.flow.caller_address),
+                          .port = context_.settings.packets.port},
+                         encode_reset(packet));
+        }
+        if (decided.reason == decision_reason::unknown_tag_unconfirmed) {
+            context_.wants_listing = true;
+        }
+        if (decided.probe != nullptr) {
+            start_probe(*decided.probe, time);
+        }
+        record(packet, decided, bytes, time);
+    }
+
+    void start_probe(const known_upstream& target, mono_time time) {
+        const auto tag = tag_of(target.report.delivery_id);
+        note_probe_started(health_of(state_, tag), time);
+        probes_.start(static_cast<std::uint32_t>(tag),
+                      {.address = from_ipv4(target.report.address), .port = target.report.port}, time);
+        probes_started_.add();
+    }
+
+    void end_probes() {
+        const auto time = now();
+        for (const auto& finished : probes_.collect(time)) {
+            auto& health = health_of(state_, steering_tag{finished.key});
+            const bool was_unreachable = health.unreachable;
+            const auto outcome = to_probe_outcome(finished.outcome);
+            note_probe_ended(health, outcome, finished.started, time);
+            const probe_record record{
+                .tag = finished.key, .outcome = outcome, .changed = health.unreachable != was_unreachable};
+            if (!context_.probes.push(record)) {
+                records_lost_.add();
+            }
+        }
+    }
+
+    void record(const flow_packet& packet, const decision& decided, std::span<const std::byte> bytes,
+                mono_time time) {
+        const auto request_id = find_request_id(bytes.subspan(packet_header_size));
+        if (!is_logged(decided, request_id)) {
+            return;
+        }
+        const decision_record record{
+            .flow = packet.flow,
+            .outcome = decided.outcome,
+            .reason = decided.reason,
+            .tag = static_cast<std::uint32_t>(decided.target == nullptr ? packet.tag : tag_of(decided.target->report.delivery_id)),
+            .configuration_version = view_->routes == nullptr ? 0 : view_->routes->version,
+            .listing_as_of = view_->listing_as_of,
+            .decided_at = time,
+            .request_id = request_id};
+        if (!context_.decisions.push(record)) {
+            records_lost_.add();
+        }
+    }
+
+    void keep_house() {
+        const auto time = now();
+        housekeeping_at_ = time + housekeeping_period;
+        if (view_ == nullptr) {
+            return;
+        }
+        forget_old(state_, *view_, time);
+        for (const auto tag : due_probes(state_, *view_, time)) {
+            start_probe(*find_by_tag(*view_->upstreams, tag), time);
+        }
+        flows_held_.set(state_.flows.flows.size());
+        send_failures_.set(socket_.send_failures());
+    }
+
+    [[nodiscard]] std::array<counter*, decision_reasons> make_decision_counters() {
+        std::array<counter*, decision_reasons> made{};
+        for (std::size_t index = 0; index < made.size(); ++index) {
+            made.at(index) = &context_.counters.get("packets_total", "Packets by the reason of their decision",
+                                                    std::string{to_string(decision_reason(index))});
+        }
+        return made;
+    }
+
+    [[nodiscard]] std::array<counter*, packet_faults> make_fault_counters() {
+        std::array<counter*, packet_faults> made{};
+        for (std::size_t index = 0; index < made.size(); ++index) {
+            made.at(index) = &context_.counters.get("datagrams_malformed_total", "Datagrams that are no packets",
+                                                    std::string{to_string(packet_fault(index))});
+        }
+        return made;
+    }
+
+    director_context& context_;
+    udp_socket socket_;
+    tcp_probes probes_;
+    director_state state_;
+    std::shared_ptr<const fleet_view> view_;
+    std::uint64_t view_version_{0};
+    mono_time housekeeping_at_{};
+    std::vector<pollfd> polled_;
+    std::array<std::byte, max_datagram_size> delivery_{};
+    std::array<counter*, decision_reasons> decided_{make_decision_counters()};
+    std::array<counter*, packet_faults> malformed_{make_fault_counters()};
+    counter& probes_started_{context_.counters.get("probes_total", "TCP probes of suspected upstreams")};
+    counter& records_lost_{context_.counters.get("log_records_lost_total", "Decisions that were not logged")};
+    counter& flows_held_{context_.counters.get("flows", "Flows held", "", counter_kind::gauge)};
+    counter& send_failures_{
+        context_.counters.get("send_failures_total", "Datagrams that the kernel refused to send")};
+    std::thread thread_;  // last: it uses all other members
+};
+
+}  // namespace
+
+result<std::unique_ptr<packet_duty>> packet_duty::start(director_context& context) {
+    auto socket = udp_socket::bind(context.settings.packets, receive_buffer_bytes);
+    if (!socket) {
+        return tl::make_unexpected(socket.error());
+    }
+    return std::make_unique<running_packet_duty>(context, *std::move(socket));
+}
+
+}  // namespace guavaramp
--- /dev/null
+++ b/libs/director/include/guavaramp/director/director.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <guavaramp/director/flow_cache.hpp>
+#include <guavaramp/director/flow_packet.hpp>
+#include <guavaramp/director/host_health.hpp>
+#include <guavaramp/director/routes.hpp>
+#include <guavaramp/director/upstreams.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace guavaramp {
+
+/// What the platform has said, as one immutable value that the control thread publishes for the packet thread.
+struct fleet_view {
+    std::string own_failure_domain;
+    std::shared_ptr<const route_table> routes;        ///< null before the first configuration
+    std::shared_ptr<const upstream_index> upstreams;  ///< null before the first listing
+    /// Every change that the store confirmed before this time is in `upstreams`.
+    mono_time listing_as_of{};
+    /// Deadline until which `routes` may be taken as the newest version.
+    mono_time routes_trusted_until{};
+    /// From this time on an upstream that is not listed is gone and not merely lapsed; the maximum while the
+    /// store is away or has just returned.
+    mono_time absence_counts_from{mono_time::max()};
+};
+
+enum class verdict : std::uint8_t { forward, reset, drop };
+
+/// Why a packet got its verdict. Each value is a counter's label and the `reason` of a log line.
+enum class decision_reason : std::uint8_t {
+    placed,                ///< new flow, or a copy of its opening packet sent on to the same host
+    placed_elsewhere,      ///< the first host left the opening packet unanswered
+    known_flow,            ///< the flow's entry names the upstream
+    tagged_flow,           ///< no entry; the packet's tag names the upstream
+    no_configuration,
+    no_route,
+    no_route_unconfirmed,  ///< no route, but the configuration may be out of date
+    no_listing,
+    no_upstream,           ///< no upstream of the route's services takes new flows
+    untagged,              ///< neither entry nor tag
+    unknown_tag,           ///< the tag names no upstream that was ever listed
+    unknown_tag_unconfirmed,
+    upstream_gone,         ///< the upstream left the list for good
+    upstream_unreachable   ///< a probe has just failed
+};
+
+inline constexpr std::size_t decision_reasons = 14;
+
+/// Text forms for counters and log lines. Thread-safe.
+[[nodiscard]] std::string_view to_string(verdict value) noexcept;
+[[nodiscard]] std::string_view to_string(decision_reason value) noexcept;
+
+/// What happens to a packet. The pointers lead into the view that the decision was made with.
+struct decision {
+    verdict outcome{verdict::drop};
+    decision_reason reason{decision_reason::no_configuration};
+    const known_upstream* target{nullptr};
+    steering_tag tag{no_tag};  ///< written into a forwarded packet
+    const known_upstream* probe{nullptr};  ///< an upstream that the packet makes suspect, to be probed now
+};
+
+/// Everything that a director remembers between packets. Not thread-safe: one thread owns it.
+struct director_state {
+    flow_cache flows;
+    std::unordered_map<std::uint32_t, host_health> health;  ///< by tag
+    /// When a tag that no listing explains was first seen.
+    std::unordered_map<std::uint32_t, mono_time> unexplained_tags;
+};
+
+/// Decides what happens to a caller's packet, and learns from it. Precondition: `now` does not go back. Not
+/// thread-safe.
+[[nodiscard]] decision decide(director_state& state, const fleet_view& view, const flow_packet& packet,
+                              mono_time now);
+
+/// The health record of the upstream behind `tag`. Not thread-safe.
+[[nodiscard]] host_health& health_of(director_state& state, steering_tag tag);
+
+/// The listed upstreams whose last probe failed and whose next one is due. Not thread-safe.
+[[nodiscard]] std::vector<steering_tag> due_probes(const director_state& state, const fleet_view& view,
+                                                   mono_time now);
+
+/// Forgets idle flows, and health and tags that no longer matter. To be called about once a second. Not
+/// thread-safe.
+void forget_old(director_state& state, const fleet_view& view, mono_time now);
+
+}  // namespace guavaramp
--- /dev/null
+++ b/libs/director/include/guavaramp/director/host_health.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <guavaramp/base/time.hpp>
+
+#include <chrono>
+#include <cstdint>
+
+namespace guavaramp {
+
+/// Failure detection of one upstream from what its callers send, since answers do not pass through a director.
+/// Callers' packets raise the suspicion; a TCP connection to the upstream's address confirms or clears it.
+
+/// Period between two probes of an upstream that answered: a second suspicion this soon is the same incident.
+inline constexpr auto probe_period_reachable = std::chrono::milliseconds{300};
+/// Period between two probes of an upstream that did not: bounds how long its recovery stays unseen.
+inline constexpr auto probe_period_unreachable = std::chrono::milliseconds{500};
+/// How long an unanswered probe counts as knowledge: two periods, so that one lost probe does not end it.
+inline constexpr auto unreachable_validity = std::chrono::milliseconds{1200};
+/// How long new flows avoid an upstream that left an opening packet unanswered: it may be at its connection
+/// limit, which a probe does not show. Fifteen times the callers' first repeat.
+inline constexpr auto avoid_after_silence = std::chrono::milliseconds{3000};
+
+/// Result of a TCP connection attempt.
+enum class probe_outcome : std::uint8_t {
+    connected,  ///< the host listens
+    refused,    ///< the host's machine answered that nothing listens
+    silent      ///< no answer until the probe's deadline
+};
+
+/// What one director knows of one upstream's reachability.
+struct host_health {
+    mono_time last_progress{};      ///< when a flow last showed that the host had answered
+    mono_time last_silence{};       ///< when an unanswered packet was last repeated
+    mono_time unreachable_until{};  ///< deadline of the belief that the host cannot be reached
+    mono_time avoid_until{};        ///< deadline until which new flows prefer other hosts
+    mono_time next_probe_at{};
+    bool probing{false};
+    bool unreachable{false};  ///< the last probe failed; probed again until one succeeds
+
+    friend bool operator==(const host_health&, const host_health&) = default;
+};
+
+/// A flow showed that the host answered. Not thread-safe.
+void note_progress(host_health& health, mono_time now) noexcept;
+
+/// A caller repeated a packet that it first sent at `first_sent`. Returns whether a probe should start now.
+/// Not thread-safe.
+[[nodiscard]] bool note_silence(host_health& health, mono_time first_sent, mono_time now) noexcept;
+
+/// Whether a probe is due without a new suspicion, because the last one failed. Not thread-safe.
+[[nodiscard]] bool is_probe_due(const host_health& health, mono_time now) noexcept;
+
+/// A probe has started. Not thread-safe.
+void note_probe_started(host_health& health, mono_time now) noexcept;
+
+/// A probe that started at `started` has ended. Answers seen meanwhile outrank a failed probe. Not
+/// thread-safe.
+void note_probe_ended(host_health& health, probe_outcome outcome, mono_time started, mono_time now) noexcept;
+
+/// Whether the host is believed unreachable at `now`: its open flows cannot go on. Not thread-safe.
+[[nodiscard]] bool is_unreachable(const host_health& health, mono_time now) noexcept;
+
+/// Whether new flows should prefer other hosts. Not thread-safe.
+[[nodiscard]] bool is_avoided(const host_health& health, mono_time now) noexcept;
+
+}  // namespace guavaramp
--- /dev/null
+++ b/libs/director/src/director.cpp
@@ -0,0 +1,266 @@
+#include <guavaramp/director/director.hpp>
+
+#include <guavaramp/director/choice.hpp>
+
+#include <array>
+
+namespace guavaramp {
+namespace {
+
+/// A host that left the list may still finish answers; its flows are reset once they have shown no progress
+/// for this long. Five times the callers' first repeat.
+constexpr auto progress_protects = std::chrono::milliseconds{1000};
+/// Idle time after which a flow is forgotten when the configuration says nothing.
+constexpr auto default_idle_timeout = std::chrono::milliseconds{15000};
+/// Unexplained tags that are remembered; further ones are dropped as unconfirmed until there is room.
+constexpr std::size_t max_unexplained_tags = 4096;
+/// How long an unexplained tag is remembered after it was first seen.
+constexpr auto keep_unexplained_tag = std::chrono::seconds{30};
+
+constexpr std::array<std::string_view, decision_reasons> reason_names{
+    "placed",      "placed_elsewhere", "known_flow",           "tagged_flow",
+    "no_configuration", "no_route",    "no_route_unconfirmed", "no_listing",
+    "no_upstream", "untagged",         "unknown_tag",          "unknown_tag_unconfirmed",
+    "upstream_gone",    "upstream_unreachable"};
+
+decision drop(decision_reason reason) { return {.outcome = verdict::drop, .reason = reason}; }
+
+/// A reset, unless the packet is itself one: two ends that answer resets with resets never stop.
+decision reset(const flow_packet& packet, decision_reason reason, const known_upstream* target = nullptr) {
+    return {.outcome = packet.aborts ? verdict::drop : verdict::reset, .reason = reason, .target = target};
+}
+
+decision forward(const known_upstream& target, steering_tag tag, decision_reason reason) {
+    return {.outcome = verdict::forward, .reason = reason, .target = &target, .tag = tag};
+}
+
+/// Whether `later` comes after `earlier` in sequence space, which wraps (RFC 9293 section 3.4).
+bool is_after(std::uint32_t later, std::uint32_t earlier) noexcept {
+    return static_cast<std::int32_t>(later - earlier) > 0;
+}
+
+decision without_route(const fleet_view& view, const flow_packet& packet, mono_time now) {
+    // A route that was added a moment ago may not be here yet; silence lets the caller's copy find it.
+    if (now >= view.routes_trusted_until) {
+        return drop(decision_reason::no_route_unconfirmed);
+    }
+    return reset(packet, decision_reason::no_route);
+}
+
+/// A copy of an opening packet: the host it went to has not answered within the caller's repeat time.
+decision place_copy(director_state& state, const fleet_view& view, flow_entry& entry,
+                    const known_upstream& chosen, mono_time now) {
+    auto& health = health_of(state, entry.tag);
+    const auto* silent = find_by_tag(*view.upstreams, entry.tag);
+    const bool probe = note_silence(health, entry.unanswered_since, now) && silent != nullptr;
+    health.avoid_until = now + avoid_after_silence;
+    const auto tag = tag_of(chosen.report.delivery_id);
+    auto decided = forward(chosen, tag, decision_reason::placed);
+    if (tag != entry.tag) {
+        decided.reason = decision_reason::placed_elsewhere;
+        entry.earlier_tag = entry.tag;
+        retag_flow(state.flows, entry, tag);
+    }
+    entry.last_seen = now;
+    entry.unanswered_since = now;
+    decided.probe = probe ? silent : nullptr;
+    return decided;
+}
+
+decision place(director_state& state, const fleet_view& view, const route& matched, const flow_packet& packet,
+               mono_time now) {
+    if (view.upstreams == nullptr) {
+        return drop(decision_reason::no_listing);
+    }
+    auto* entry = find_flow(state.flows, packet.flow);
+    const bool copy =
+        entry != nullptr && !entry->established && entry->opening_sequence == packet.sequence;
+    const auto hash = hash_of(packet.flow);
+    const known_upstream* chosen = nullptr;
+    for (const auto* service : services_in_order(matched, hash)) {
+        chosen = choose_upstream(state, view, *service, hash, copy ? entry->tag : no_tag, now);
+        if (chosen != nullptr) {
+            break;
+        }
+    }
+    if (chosen == nullptr) {
+        remove_flow(state.flows, packet.flow);
+        return reset(packet, decision_reason::no_upstream);
+    }
+    if (copy) {
+        return place_copy(state, view, *entry, *chosen, now);
+    }
+    const auto tag = tag_of(chosen->report.delivery_id);
+    add_flow(state.flows, packet.flow,
+             {.tag = tag,
+              .opening_sequence = packet.sequence,
+              .sent_until = packet.sequence + 1,
+              .last_seen = now,
+              .unanswered_since = now});
+    return forward(*chosen, tag, decision_reason::placed);
+}
+
+/// A tag that no listing explains: the flow's upstream may have been listed after the last reading.
+decision explain_tag(director_state& state, const fleet_view& view, const flow_packet& packet,
+                     steering_tag tag, mono_time now) {
+    const auto key = static_cast<std::uint32_t>(tag);
+    if (state.unexplained_tags.size() >= max_unexplained_tags && !state.unexplained_tags.contains(key)) {
+        return drop(decision_reason::unknown_tag_unconfirmed);
+    }
+    const auto first_seen = state.unexplained_tags.try_emplace(key, now).first->second;
+    const bool confirmed = view.listing_as_of > first_seen && view.listing_as_of >= view.absence_counts_from;
+    if (!confirmed) {
+        return drop(decision_reason::unknown_tag_unconfirmed);
+    }
+    return reset(packet, decision_reason::unknown_tag);
+}
+
+/// The entry of an established flow, made from the packet's tag when there is none. Null when the cache is
+/// full.
+flow_entry* established_entry(director_state& state, const flow_packet& packet, mono_time now) {
+    auto* entry = find_flow(state.flows, packet.flow);
+    if (entry == nullptr) {
+        return add_flow(state.flows, packet.flow,
+                        {.tag = packet.tag,
+                         .last_acknowledged = packet.acknowledgement,
+                         .sent_until = packet.sequence,
+                         .last_seen = now,
+                         .established = true});
+    }
+    if (!entry->established) {
+        // The first packet after the opening one carries the tag of the host that the caller has accepted;
+        // later ones may carry that of a second host that answered too.
+        if (packet.tag != no_tag && packet.tag != entry->tag) {
+            retag_flow(state.flows, *entry, packet.tag);
+        }
+        entry->established = true;
+        entry->last_acknowledged = packet.acknowledgement;
+        entry->unanswered_since = mono_time{};
+        note_progress(health_of(state, entry->tag), now);
+    }
+    return entry;
+}
+
+/// Learns from a packet of an established flow. Returns whether the upstream should be probed.
+bool observe(director_state& state, flow_entry& entry, const flow_packet& packet, mono_time now) {
+    auto& health = health_of(state, entry.tag);
+    entry.last_seen = now;
+    if (is_after(packet.acknowledgement, entry.last_acknowledged)) {
+        entry.last_acknowledged = packet.acknowledgement;
+        entry.unanswered_since = mono_time{};
+        note_progress(health, now);
+    }
+    if (packet.payload_bytes == 0) {
+        return false;
+    }
+    const std::uint32_t end = packet.sequence + packet.payload_bytes;
+    if (is_after(end, entry.sent_until)) {
+        entry.sent_until = end;
+        if (entry.unanswered_since == mono_time{}) {
+            entry.unanswered_since = now;
+        }
+        return false;
+    }
+    return entry.unanswered_since != mono_time{} && note_silence(health, entry.unanswered_since, now);
+}
+
+decision steer(director_state& state, const fleet_view& view, const flow_packet& packet, mono_time now) {
+    if (view.upstreams == nullptr) {
+        return drop(decision_reason::no_listing);
+    }
+    const bool had_entry = find_flow(state.flows, packet.flow) != nullptr;
+    if (!had_entry && packet.tag == no_tag) {
+        return drop(decision_reason::untagged);
+    }
+    auto* entry = established_entry(state, packet, now);
+    const auto tag = entry == nullptr ? packet.tag : entry->tag;
+    const auto* target = find_by_tag(*view.upstreams, tag);
+    if (target == nullptr) {
+        remove_flow(state.flows, packet.flow);
+        return explain_tag(state, view, packet, tag, now);
+    }
+    const bool probe = entry != nullptr && observe(state, *entry, packet, now);
+    const auto& health = health_of(state, tag);
+    const bool absent = !target->listed && view.listing_as_of >= view.absence_counts_from;
+    if (absent && now - health.last_progress > progress_protects) {
+        remove_flow(state.flows, packet.flow);
+        return reset(packet, decision_reason::upstream_gone, target);
+    }
+    if (is_unreachable(health, now)) {
+        remove_flow(state.flows, packet.flow);
+        return reset(packet, decision_reason::upstream_unreachable, target);
+    }
+    if (packet.aborts) {
+        remove_flow(state.flows, packet.flow);
+    } else if (packet.closes && entry != nullptr) {
+        close_flow(state.flows, *entry);
+    }
+    auto decided =
+        forward(*target, tag, had_entry ? decision_reason::known_flow : decision_reason::tagged_flow);
+    decided.probe = probe ? target : nullptr;
+    return decided;
+}
+
+}  // namespace
+
+std::string_view to_string(verdict value) noexcept {
+    switch (value) {
+        case verdict::forward:
+            return "forward";
+        case verdict::reset:
+            return "reset";
+        case verdict::drop:
+            return "drop";
+    }
+    return "unknown";
+}
+
+std::string_view to_string(decision_reason value) noexcept {
+    return reason_names.at(static_cast<std::size_t>(value));
+}
+
+decision decide(director_state& state, const fleet_view& view, const flow_packet& packet, mono_time now) {
+    if (view.routes == nullptr) {
+        return drop(decision_reason::no_configuration);
+    }
+    const auto* matched = find_route(*view.routes, packet.flow);
+    if (matched == nullptr) {
+        remove_flow(state.flows, packet.flow);
+        return without_route(view, packet, now);
+    }
+    return packet.opens ? place(state, view, *matched, packet, now) : steer(state, view, packet, now);
+}
+
+host_health& health_of(director_state& state, steering_tag tag) {
+    return state.health[static_cast<std::uint32_t>(tag)];
+}
+
+std::vector<steering_tag> due_probes(const director_state& state, const fleet_view& view, mono_time now) {
+    std::vector<steering_tag> due;
+    if (view.upstreams == nullptr) {
+        return due;
+    }
+    for (const auto& [tag, health] : state.health) {
+        const auto* known = find_by_tag(*view.upstreams, steering_tag{tag});
+        if (known != nullptr && known->listed && is_probe_due(health, now)) {
+            due.push_back(steering_tag{tag});
+        }
+    }
+    return due;
+}
+
+void forget_old(director_state& state, const fleet_view& view, mono_time now) {
+    const bool configured = view.routes != nullptr && view.routes->idle_timeout_ms > 0;
+    const auto idle_timeout =
+        configured ? std::chrono::milliseconds{view.routes->idle_timeout_ms} : default_idle_timeout;
+    expire_flows(state.flows, now - idle_timeout);
+    std::erase_if(state.unexplained_tags,
+                  [now](const auto& item) { return now - item.second > keep_unexplained_tag; });
+    if (view.upstreams != nullptr) {
+        std::erase_if(state.health, [&view](const auto& item) {
+            return find_by_tag(*view.upstreams, steering_tag{item.first}) == nullptr;
+        });
+    }
+}
+
+}  // namespace guavaramp
--- /dev/null
+++ b/libs/director/src/host_health.cpp
@@ -0,0 +1,52 @@
+#include <guavaramp/director/host_health.hpp>
+
+namespace guavaramp {
+
+void note_progress(host_health& health, mono_time now) noexcept {
+    health.last_progress = now;
+    health.unreachable = false;
+    health.unreachable_until = mono_time{};
+}
+
+bool note_silence(host_health& health, mono_time first_sent, mono_time now) noexcept {
+    if (health.last_progress > first_sent) {
+        return false;
+    }
+    health.last_silence = now;
+    return !health.probing && now >= health.next_probe_at;
+}
+
+bool is_probe_due(const host_health& health, mono_time now) noexcept {
+    return health.unreachable && !health.probing && now >= health.next_probe_at;
+}
+
+void note_probe_started(host_health& health, mono_time now) noexcept {
+    health.probing = true;
+    health.next_probe_at = now + probe_period_reachable;
+}
+
+void note_probe_ended(host_health& health, probe_outcome outcome, mono_time started, mono_time now) noexcept {
+    health.probing = false;
+    if (outcome == probe_outcome::connected) {
+        health.unreachable = false;
+        health.unreachable_until = mono_time{};
+        health.next_probe_at = now + probe_period_reachable;
+        return;
+    }
+    if (health.last_progress > started) {
+        return;
+    }
+    health.unreachable = true;
+    health.unreachable_until = now + unreachable_validity;
+    health.next_probe_at = now + probe_period_unreachable;
+}
+
+bool is_unreachable(const host_health& health, mono_time now) noexcept {
+    return health.unreachable && now < health.unreachable_until;
+}
+
+bool is_avoided(const host_health& health, mono_time now) noexcept {
+    return health.unreachable || now < health.avoid_until;
+}
+
+}  // namespace guavaramp
--- /dev/null
+++ b/libs/director/src/upstreams.cpp
@@ -0,0 +1,146 @@
+#include <guavaramp/director/upstreams.hpp>
+
+#include <guavaramp/base/hash.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+namespace guavaramp {
+namespace {
+
+constexpr std::uint64_t tag_seed = 0x7461672d6f66ULL;
+
+upstream_change change_of(upstream_change_kind kind, const upstream_report& report) {
+    return {.kind = kind,
+            .id = report.id,
+            .service = report.service,
+            .phase = report.phase,
+            .revision = report.revision};
+}
+
+void apply_report(upstream_directory& directory, const upstream_report& report,
+                  std::vector<upstream_change>& changes) {
+    const auto [position, inserted] =
+        directory.by_id.try_emplace(report.id, known_upstream{.report = report});
+    auto& known = position->second;
+    if (inserted) {
+        changes.push_back(change_of(upstream_change_kind::appeared, report));
+        return;
+    }
+    if (report.revision < known.report.revision) {
+        return;
+    }
+    if (!known.listed) {
+        changes.push_back(change_of(upstream_change_kind::returned, report));
+    } else if (report.started_unix_ms != known.report.started_unix_ms) {
+        changes.push_back(change_of(upstream_change_kind::restarted, report));
+    } else if (report.phase != known.report.phase) {
+        changes.push_back(change_of(upstream_change_kind::phase_changed, report));
+    }
+    known.listed = true;
+    if (report.phase == upstream_phase::unusable && known.report.address != 0) {
+        // The last readable entry still says where its open flows go.
+        known.report.phase = report.phase;
+        known.report.revision = report.revision;
+        return;
+    }
+    known.report = report;
+}
+
+}  // namespace
+
+steering_tag tag_of(std::uint64_t delivery_id) noexcept {
+    // Ids of up to 32 bits are their own tag and cannot collide.
+    const bool fits = delivery_id <= std::numeric_limits<std::uint32_t>::max();
+    const auto tag =
+        static_cast<std::uint32_t>(fits ? delivery_id : mix_hashes(delivery_id, tag_seed) >> 32U);
+    return steering_tag{tag == 0 ? 1U : tag};
+}
+
+std::string_view to_string(upstream_change_kind kind) noexcept {
+    switch (kind) {
+        case upstream_change_kind::appeared:
+            return "appeared";
+        case upstream_change_kind::returned:
+            return "returned";
+        case upstream_change_kind::restarted:
+            return "restarted";
+        case upstream_change_kind::phase_changed:
+            return "phase_changed";
+        case upstream_change_kind::unlisted:
+            return "unlisted";
+        case upstream_change_kind::forgotten:
+            return "forgotten";
+    }
+    return "unknown";
+}
+
+std::string_view to_string(upstream_phase phase) noexcept {
+    switch (phase) {
+        case upstream_phase::ready:
+            return "ready";
+        case upstream_phase::draining:
+            return "draining";
+        case upstream_phase::unusable:
+            return "unusable";
+    }
+    return "unknown";
+}
+
+std::vector<upstream_change> apply_listing(upstream_directory& directory, const upstream_listing& listing,
+                                           mono_time now, mono_time keep_unlisted_since) {
+    std::vector<upstream_change> changes;
+    if (listing.revision < directory.revision) {
+        return changes;
+    }
+    directory.revision = listing.revision;
+    std::set<std::string_view> present;
+    for (const auto& report : listing.reports) {
+        present.insert(report.id);
+        apply_report(directory, report, changes);
+    }
+    for (auto position = directory.by_id.begin(); position != directory.by_id.end();) {
+        auto& known = position->second;
+        if (known.listed && !present.contains(position->first)) {
+            known.listed = false;
+            known.unlisted_at = now;
+            changes.push_back(change_of(upstream_change_kind::unlisted, known.report));
+        }
+        if (!known.listed && known.unlisted_at < keep_unlisted_since) {
+            changes.push_back(change_of(upstream_change_kind::forgotten, known.report));
+            position = directory.by_id.erase(position);
+        } else {
+            ++position;
+        }
+    }
+    return changes;
+}
+
+upstream_index make_upstream_index(const upstream_directory& directory) {
+    upstream_index index;
+    index.upstreams.reserve(directory.by_id.size());
+    for (const auto& [id, known] : directory.by_id) {
+        index.upstreams.push_back(known);
+    }
+    std::stable_sort(index.upstreams.begin(), index.upstreams.end(),
+                     [](const known_upstream& left, const known_upstream& right) {
+                         return left.report.created_revision < right.report.created_revision;
+                     });
+    for (std::size_t position = 0; position < index.upstreams.size(); ++position) {
+        const auto& known = index.upstreams[position];
+        const auto tag = static_cast<std::uint32_t>(tag_of(known.report.delivery_id));
+        const bool owns_tag = index.by_tag.emplace(tag, position).second;
+        if (owns_tag && known.listed && known.report.phase == upstream_phase::ready) {
+            index.ready_by_service[known.report.service].push_back(position);
+        }
+    }
+    return index;
+}
+
+const known_upstream* find_by_tag(const upstream_index& index, steering_tag tag) noexcept {
+    const auto found = index.by_tag.find(static_cast<std::uint32_t>(tag));
+    return found == index.by_tag.end() ? nullptr : &index.upstreams[found->second];
+}
+
+}  // namespace guavaramp
--- /dev/null
+++ b/libs/net/include/guavaramp/net/http_session.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <guavaramp/base/address.hpp>
+#include <guavaramp/base/error.hpp>
+#include <guavaramp/base/time.hpp>
+#include <guavaramp/net/http.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace asio {
+class io_context;
+}  // namespace asio
+
+namespace guavaramp {
+
+/// An HTTP/1.1 client on one connection that it keeps open between calls, for programs that already run an
+/// Asio context. One call at a time. A call that fails closes the connection, so that a late answer cannot be
+/// taken for that of the next call. To be used on the context's thread only; the context outlives it.
+class http_session {
+public:
+    using handler = std::function<void(result<http_response>)>;
+
+    http_session(asio::io_context& context, const endpoint& peer);
+    ~http_session();
+    http_session(const http_session&) = delete;
+    http_session& operator=(const http_session&) = delete;
+
+    /// Sends a request without a body. `done` runs once, later, unless the session is destroyed before.
+    /// Errors given to `done`: `unavailable`, `malformed` (no HTTP answer, or one longer than the limit),
+    /// `deadline_exceeded`. Precondition: `!is_busy()`.
+    void get(const std::string& target, mono_time deadline, handler done);
+
+    /// Whether a call is in progress.
+    [[nodiscard]] bool is_busy() const noexcept;
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+}  // namespace guavaramp
--- /dev/null
+++ b/libs/net/include/guavaramp/net/tcp_probe.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <guavaramp/base/address.hpp>
+#include <guavaramp/base/time.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+struct pollfd;
+
+namespace guavaramp {
+
+/// When a probe without an answer has failed. Fifty round trips between failure domains.
+inline constexpr auto probe_timeout = std::chrono::milliseconds{160};
+/// When a second connection attempt starts beside the first, so that one lost packet does not fail a probe.
+inline constexpr auto probe_second_attempt_after = std::chrono::milliseconds{60};
+
+/// The result of a connection attempt.
+enum class connect_outcome : std::uint8_t { connected, refused, silent };
+
+struct finished_probe {
+    std::uint32_t key{0};
+    connect_outcome outcome{connect_outcome::silent};
+    mono_time started{};
+};
+
+/// TCP connection attempts that show whether something listens at an address. A connection is closed as soon as
+/// it stands; no byte is sent. Not thread-safe: one thread owns the set.
+class tcp_probes {
+public:
+    tcp_probes() = default;
+    ~tcp_probes();
+    tcp_probes(const tcp_probes&) = delete;
+    tcp_probes& operator=(const tcp_probes&) = delete;
+
+    /// Starts a probe of `target`; `key` comes back with its result.
+    void start(std::uint32_t key, const endpoint& target, mono_time now);
+
+    /// Appends the sockets to wait for.
+    void add_to_poll(std::vector<pollfd>& polled) const;
+
+    /// The earliest time at which `collect` has something to do without a ready socket; `otherwise` when there
+    /// is none.
+    [[nodiscard]] mono_time next_deadline(mono_time otherwise) const;
+
+    /// Ends the probes that have an outcome, and starts second attempts that are due.
+    [[nodiscard]] std::vector<finished_probe> collect(mono_time now);
+
+private:
+    struct attempt {
+        std::uint32_t key{0};
+        endpoint target;
+        mono_time started{};
+        int first{-1};
+        int second{-1};
+        bool refused{false};
+    };
+
+    std::vector<attempt> running_;
+};
+
+}  // namespace guavaramp
--- /dev/null
+++ b/libs/net/src/http_session.cpp
@@ -0,0 +1,176 @@
+#include <guavaramp/net/http_session.hpp>
+
+#include <asio.hpp>
+#include <http_parser.h>
+
+#include <array>
+
+namespace guavaramp {
+namespace {
+
+using asio::ip::tcp;
+
+/// Longest answer that is accepted: four pages of the platform's store.
+constexpr std::size_t max_answer_bytes = 4U << 20U;
+constexpr std::size_t read_chunk_bytes = 8192;
+
+tcp::endpoint to_asio(const endpoint& value) {
+    if (is_ipv4(value.address)) {
+        return {asio::ip::address_v4{to_ipv4(value.address)}, value.port};
+    }
+    return {asio::ip::address_v6{value.address.bytes}, value.port};
+}
+
+}  // namespace
+
+struct http_session::state : std::enable_shared_from_this<state> {
+    state(asio::io_context& context, const endpoint& remote)
+        : peer(remote), socket(context), timer(context) {
+        http_parser_settings_init(&callbacks);
+        callbacks.on_body = [](http_parser* source, const char* at, std::size_t length) {
+            auto& body = static_cast<state*>(source->data)->answer.body;
+            body.append(at, length);
+            return body.size() > max_answer_bytes ? 1 : 0;
+        };
+        callbacks.on_message_complete = [](http_parser* source) {
+            static_cast<state*>(source->data)->complete = true;
+            return 0;
+        };
+    }
+
+    void start(const std::string& target, mono_time deadline, handler handle) {
+        ++call;
+        done = std::move(handle);
+        answer = {};
+        complete = false;
+        http_parser_init(&parser, HTTP_RESPONSE);
+        parser.data = this;
+        request = "GET " + target + " HTTP/1.1\r\nHost: " + to_string(peer) + "\r\n\r\n";
+        timer.expires_at(deadline);
+        timer.async_wait([self = shared_from_this(), number = call](const std::error_code& failure) {
+            if (!failure && self->call == number) {
+                self->finish(fail(error_kind::deadline_exceeded, "no answer from " + to_string(self->peer)));
+            }
+        });
+        if (connected) {
+            write();
+        } else {
+            connect();
+        }
+    }
+
+    void connect() {
+        socket.async_connect(to_asio(peer), [self = shared_from_this(), number = call](
+                                                const std::error_code& failure) {
+            if (self->call != number || !self->done) {
+                return;
+            }
+            if (failure) {
+                self->finish(fail(error_kind::unavailable,
+                                  "cannot connect to " + to_string(self->peer) + ": " + failure.message()));
+                return;
+            }
+            self->connected = true;
+            std::error_code ignored;  // latency only; the call works without it
+            self->socket.set_option(tcp::no_delay{true}, ignored);
+            self->write();
+        });
+    }
+
+    void write() {
+        asio::async_write(socket, asio::buffer(request),
+                          [self = shared_from_this(), number = call](const std::error_code& failure,
+                                                                     std::size_t /*sent*/) {
+                              if (self->call != number || !self->done) {
+                                  return;
+                              }
+                              if (failure) {
+                                  self->finish_broken(failure);
+                              } else {
+                                  self->read();
+                              }
+                          });
+    }
+
+    void read() {
+        socket.async_read_some(
+            asio::buffer(chunk), [self = shared_from_this(), number = call](const std::error_code& failure,
+                                                                            std::size_t received) {
+                if (self->call != number || !self->done) {
+                    return;
+                }
+                if (failure) {
+                    self->finish_broken(failure);
+                } else {
+                    self->parse(received);
+                }
+            });
+    }
+
+    void parse(std::size_t received) {
+        const auto parsed = http_parser_execute(&parser, &callbacks, chunk.data(), received);
+        if (HTTP_PARSER_ERRNO(&parser) != HPE_OK || (parsed != received && !complete)) {
+            finish(fail(error_kind::malformed, "no HTTP answer from " + to_string(peer)));
+            return;
+        }
+        if (!complete) {
+            read();
+            return;
+        }
+        answer.status = static_cast<int>(parser.status_code);
+        const bool keep = http_should_keep_alive(&parser) != 0 && parsed == received;
+        finish(std::move(answer), keep);
+    }
+
+    void finish_broken(const std::error_code& failure) {
+        finish(fail(error_kind::unavailable,
+                    "the connection to " + to_string(peer) + " broke: " + failure.message()));
+    }
+
+    void finish(result<http_response> outcome, bool keep_connection = false) {
+        ++call;
+        timer.cancel();
+        if (!keep_connection) {
+            close();
+        }
+        auto handle = std::exchange(done, nullptr);
+        if (handle) {
+            handle(std::move(outcome));
+        }
+    }
+
+    void close() {
+        connected = false;
+        std::error_code ignored;  // the socket is given up either way
+        socket.close(ignored);
+    }
+
+    endpoint peer;
+    tcp::socket socket;
+    asio::steady_timer timer;
+    http_parser parser{};
+    http_parser_settings callbacks{};
+    std::array<char, read_chunk_bytes> chunk{};
+    std::string request;
+    http_response answer;
+    handler done;
+    std::uint64_t call{0};
+    bool connected{false};
+    bool complete{false};
+};
+
+http_session::http_session(asio::io_context& context, const endpoint& peer)
+    : state_(std::make_shared<state>(context, peer)) {}
+
+http_session::~http_session() {
+    state_->done = nullptr;
+    state_->finish(fail(error_kind::cancelled, "the session ended"));
+}
+
+void http_session::get(const std::string& target, mono_time deadline, handler done) {
+    state_->start(target, deadline, std::move(done));
+}
+
+bool http_session::is_busy() const noexcept { return state_->done != nullptr; }
+
+}  // namespace guavaramp
--- a/libs/telemetry/include/guavaramp/telemetry/log.hpp
+++ b/libs/telemetry/include/guavaramp/telemetry/log.hpp
@@ -11,7 +11,7 @@
 /// A named value of a log line.
 using log_field = std::pair<const char*, std::string>;
 
-/// Sets up the process's log: one JSON object a line on standard error, written by a background thread
+/// Sets up the process's log: one JSON object a line on standard output, written by a background thread
 /// (spdlog async) so that no duty waits for the terminal. Call once at start, before any thread. `program`
 /// names the process.
 void start_log(const std::string& program, log_level least);
--- a/libs/telemetry/src/log.cpp
+++ b/libs/telemetry/src/log.cpp
@@ -8,7 +8,8 @@
 namespace guavaramp {
 namespace {
 
-constexpr std::size_t queued_lines = 8192;
+/// Lines that wait for the background thread; each takes about 400 bytes.
+constexpr std::size_t queued_lines = 512;
 
 spdlog::level::level_enum to_spdlog(log_level level) noexcept {
     switch (level) {
@@ -27,7 +28,7 @@
 void start_log(const std::string& program, log_level least) {
     spdlog::init_thread_pool(queued_lines, 1);
     // A full queue drops the oldest line instead of blocking the thread that logs.
-    auto logger = spdlog::create_async_nb<spdlog::sinks::stderr_sink_mt>(program);
+    auto logger = spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>(program);
     logger->set_level(to_spdlog(least));
     logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","program":"%n",%v})");
     logger->flush_on(spdlog::level::info);
