Watch configuration and listing in place of cached polls

Change: each subject is read once in whole and then watched for up to 20 s on a connection with keep-alive probes; any failure leads to a new whole reading. An upstream that left the list is gone 2.5 s after that or after the store's return. Repeats sooner than 150 ms are reordering.

--- a/apps/director/control_duty.cpp
+++ b/apps/director/control_duty.cpp
@@ -91,7 +91,7 @@
             return;
         }
         if (context_.wants_listing.exchange(false)) {
-            reader_.want_newest_listing();
+            reader_.check_listing();
         }
         write_decisions();
         tick_.expires_after(tick_period);
--- a/apps/director/store_reader.cpp
+++ b/apps/director/store_reader.cpp
@@ -3,6 +3,7 @@
 #include <guavaramp/platform_adapter/platform_entries.hpp>
 #include <guavaramp/telemetry/log.hpp>
 
+#include <algorithm>
 #include <chrono>
 
 namespace guavaramp {
@@ -13,11 +14,11 @@
 /// How long an upstream that left the list stays known. Flows may be that old.
 constexpr auto keep_unlisted = std::chrono::seconds{60};
 /// Least time between two readings that packets ask for.
-constexpr auto least_wanted_period = std::chrono::milliseconds{200};
+constexpr auto least_check_period = std::chrono::milliseconds{1000};
 
 mono_time now() { return std::chrono::steady_clock::now(); }
 
-const char* name_of(store_subject subject) noexcept {
+const char* to_text(store_subject subject) noexcept {
     return subject == store_subject::configuration ? "configuration" : "listing";
 }
 
@@ -32,35 +33,63 @@
     return std::string_view{answer->body};
 }
 
+/// Applies `decode` to the answer's body.
+template <typename Decode>
+auto decode_answer(const result<http_response>& answer, Decode decode) -> decltype(decode(std::string_view{})) {
+    const auto body = body_of(answer);
+    if (!body) {
+        return tl::make_unexpected(body.error());
+    }
+    return decode(*body);
+}
+
+upstream_news to_upstream_news(const store_news& news) {
+    upstream_news changed{.revision = news.store_revision};
+    for (const auto& item : news.written) {
+        changed.reports.push_back(decode_upstream(item));
+    }
+    for (const auto& deleted : news.deleted) {
+        changed.removed.push_back({.id = upstream_id_of(deleted.key), .revision = deleted.revision});
+    }
+    return changed;
+}
+
+std::size_t count_unreadable(const upstream_directory& directory) {
+    return static_cast<std::size_t>(
+        std::count_if(directory.by_id.begin(), directory.by_id.end(), [](const auto& item) {
+            return item.second.listed && item.second.report.phase == upstream_phase::unusable;
+        }));
+}
+
 }  // namespace
 
 store_reader::store_reader(asio::io_context& io, director_context& context)
     : context_(context),
       timer_(io),
-      configuration_session_(io, context.settings.store),
-      listing_session_(io, context.settings.store),
-      reads_(context.counters.get("store_reads_total", "Readings of the platform's store", "cached")),
-      newest_reads_(context.counters.get("store_reads_total", "Readings of the platform's store", "newest")),
+      configuration_{.session = http_session{io, context.settings.store}},
+      listing_{.session = http_session{io, context.settings.store}},
+      whole_reads_(context.counters.get("store_reads_total", "Readings of the platform's store", "whole")),
+      watches_(context.counters.get("store_reads_total", "Readings of the platform's store", "watch")),
       read_failures_(context.counters.get("store_read_failures_total", "Readings without a usable answer")),
-      unreadable_entries_(
-          context.counters.get("upstream_entries_unreadable", "Upstream entries that cannot be read", "",
-                               counter_kind::gauge)),
-      unreadable_routes_(context.counters.get("routes_unreadable", "Routes that cannot be read", "",
-                                              counter_kind::gauge)),
-      configuration_version_(context.counters.get("configuration_version", "Version in force", "",
-                                                  counter_kind::gauge)) {
+      unreadable_entries_(context.counters.get("upstream_entries_unreadable",
+                                               "Upstream entries that cannot be read", "",
+                                               counter_kind::gauge)),
+      unreadable_routes_(
+          context.counters.get("routes_unreadable", "Routes that cannot be read", "", counter_kind::gauge)),
+      configuration_version_(
+          context.counters.get("configuration_version", "Version in force", "", counter_kind::gauge)) {
     view_.own_failure_domain = context.settings.failure_domain;
 }
 
 void store_reader::start() { read_due(); }
 
-void store_reader::want_newest_listing() {
-    auto& listing = sync_of(sync_, store_subject::listing);
-    if (listing.want_newest || listing.reading || now() < reading_.started + least_wanted_period) {
+void store_reader::check_listing() {
+    if (now() < listing_.started + least_check_period || sync_of(sync_, store_subject::listing).read_whole) {
         return;
     }
-    want_newest(sync_, store_subject::listing);
-    listing.next_at = now();
+    listing_.session.cancel();
+    sync_of(sync_, store_subject::listing).reading = false;
+    want_whole(sync_, store_subject::listing, now());
     read_due();
 }
 
@@ -72,11 +101,21 @@
 void store_reader::read_due() {
     due_reading due{};
     if (start_if_due(sync_, store_subject::configuration, now(), due)) {
-        read_configuration(due.newest);
+        configuration_.started = now();
+        if (due.whole) {
+            read_configuration();
+        } else {
+            watch(store_subject::configuration, operator_prefix, &store_reader::configuration_watched);
+        }
     }
     if (start_if_due(sync_, store_subject::listing, now(), due)) {
-        reading_ = {.listing = {}, .started = now(), .newest = due.newest};
-        read_page("");
+        listing_.started = now();
+        if (due.whole) {
+            pages_ = {};
+            read_page("");
+        } else {
+            watch(store_subject::listing, upstream_prefix, &store_reader::listing_watched);
+        }
     }
     const auto next = next_reading_at(sync_);
     if (next == mono_time::max()) {
@@ -90,34 +129,57 @@
     });
 }
 
-void store_reader::read_configuration(bool newest) {
-    const auto started = now();
-    (newest ? newest_reads_ : reads_).add();
-    configuration_session_.get(
-        item_target(configuration_key, newest ? read_mode::newest : read_mode::cached),
-        started + read_timeout, [this, started, newest](const result<http_response>& answer) {
-            configuration_answered(answer, started, newest);
-        });
+void store_reader::watch(store_subject subject, std::string_view prefix,
+                         void (store_reader::*answered)(const result<http_response>&)) {
+    auto& reading = subject == store_subject::configuration ? configuration_ : listing_;
+    watches_.add();
+    reading.session.get(watch_target(prefix, reading.watched_revision, watch_wait),
+                        reading.started + watch_wait + read_timeout,
+                        [this, answered](const result<http_response>& answer) { (this->*answered)(answer); });
 }
 
-void store_reader::configuration_answered(const result<http_response>& answer, mono_time started,
-                                          bool newest) {
-    (void)newest;
-    const auto body = body_of(answer);
-    const auto item = body ? decode_item(*body) : tl::make_unexpected(body.error());
+void store_reader::read_configuration() {
+    whole_reads_.add();
+    configuration_.session.get(
+        item_target(configuration_key, read_mode::newest), configuration_.started + read_timeout,
+        [this](const result<http_response>& answer) { configuration_answered(answer); });
+}
+
+void store_reader::configuration_answered(const result<http_response>& answer) {
+    const auto item = decode_answer(answer, decode_item);
+    if (!item && item.error().kind == error_kind::not_found) {
+        // The operator writes the first configuration some time after the fleet has started.
+        note_absent(sync_, store_subject::configuration, now());
+        read_due();
+        return;
+    }
     if (!item) {
         failed(store_subject::configuration, item.error());
         return;
     }
-    if (item->revision > configuration_revision_) {
-        configuration_revision_ = item->revision;
-        apply_configuration(*item);
+    apply_configuration(*item);
+    succeeded({.subject = store_subject::configuration, .whole = true}, item->store_revision);
+}
+
+void store_reader::configuration_watched(const result<http_response>& answer) {
+    const auto news = decode_answer(answer, decode_news);
+    if (!news) {
+        failed(store_subject::configuration, news.error());
+        return;
+    }
+    for (const auto& item : news->written) {
+        if (item.key == configuration_key) {
+            apply_configuration(item);
+        }
     }
-    view_.routes_trusted_until = started + configuration_validity;
-    succeeded(store_subject::configuration);
+    succeeded({.subject = store_subject::configuration, .whole = false}, news->store_revision);
 }
 
 void store_reader::apply_configuration(const store_item& item) {
+    if (item.revision <= configuration_revision_) {
+        return;
+    }
+    configuration_revision_ = item.revision;
     const auto decoded = decode_configuration(item.value);
     if (!decoded) {
         log_event(log_level::error, "configuration_unreadable",
@@ -143,42 +205,47 @@
 }
 
 void store_reader::read_page(const std::string& after_key) {
-    (reading_.newest ? newest_reads_ : reads_).add();
-    listing_session_.get(
-        page_target(upstream_prefix, after_key, reading_.newest ? read_mode::newest : read_mode::cached),
-        now() + read_timeout, [this](const result<http_response>& answer) { page_answered(answer); });
+    whole_reads_.add();
+    listing_.session.get(page_target(upstream_prefix, after_key, read_mode::newest), now() + read_timeout,
+                         [this](const result<http_response>& answer) { page_answered(answer); });
 }
 
 void store_reader::page_answered(const result<http_response>& answer) {
-    const auto body = body_of(answer);
-    const auto page = body ? decode_page(*body) : tl::make_unexpected(body.error());
+    const auto page = decode_answer(answer, decode_page);
     if (!page) {
         failed(store_subject::listing, page.error());
         return;
     }
-    auto& listing = reading_.listing;
-    if (listing.revision == 0) {
-        listing.revision = page->store_revision;
+    // Pages are not a snapshot: the watch that follows goes on from the oldest one.
+    if (pages_.revision == 0) {
+        pages_.revision = page->store_revision;
     }
     for (const auto& item : page->items) {
-        listing.reports.push_back(decode_upstream(item));
+        pages_.reports.push_back(decode_upstream(item));
     }
     if (page->has_more && !page->items.empty()) {
         read_page(page->items.back().key);
         return;
     }
-    apply_listing_read();
-    succeeded(store_subject::listing);
+    const auto time = now();
+    apply_changes(apply_listing(directory_, pages_, time, time - keep_unlisted));
+    view_.listing_as_of = listing_.started;
+    succeeded({.subject = store_subject::listing, .whole = true}, pages_.revision);
 }
 
-void store_reader::apply_listing_read() {
-    const auto time = now();
-    std::uint64_t unreadable = 0;
-    for (const auto& report : reading_.listing.reports) {
-        unreadable += report.phase == upstream_phase::unusable ? 1 : 0;
+void store_reader::listing_watched(const result<http_response>& answer) {
+    const auto news = decode_answer(answer, decode_news);
+    if (!news) {
+        failed(store_subject::listing, news.error());
+        return;
     }
-    unreadable_entries_.set(unreadable);
-    for (const auto& change : apply_listing(directory_, reading_.listing, time, time - keep_unlisted)) {
+    const auto time = now();
+    apply_changes(apply_news(directory_, to_upstream_news(*news), time, time - keep_unlisted));
+    succeeded({.subject = store_subject::listing, .whole = false}, news->store_revision);
+}
+
+void store_reader::apply_changes(const std::vector<upstream_change>& changes) {
+    for (const auto& change : changes) {
         log_event(log_level::info, "upstream_changed",
                   {{"upstream", change.id},
                    {"change", std::string{to_string(change.kind)}},
@@ -186,7 +253,7 @@
                    {"service", change.service},
                    {"revision", std::to_string(change.revision)}});
     }
-    view_.listing_as_of = std::max(view_.listing_as_of, includes_changes_until(reading_.started, reading_.newest));
+    unreadable_entries_.set(count_unreadable(directory_));
     view_.upstreams = std::make_shared<const upstream_index>(make_upstream_index(directory_));
 }
 
@@ -194,24 +261,34 @@
     read_failures_.add();
     if (note_read_failure(sync_, subject, now())) {
         log_event(log_level::warning, "store_lost",
-                  {{"reading", guavaramp::name_of(subject)}, {"message", failure.message}});
+                  {{"reading", to_text(subject)}, {"message", failure.message}});
+    }
+    if (subject == store_subject::configuration) {
+        view_.routes_trusted_until = now();
     }
     publish();
     read_due();
 }
 
-void store_reader::succeeded(store_subject subject) {
+void store_reader::succeeded(const due_reading& reading, std::uint64_t store_revision) {
+    auto& subject = reading.subject == store_subject::configuration ? configuration_ : listing_;
+    // A whole reading sets the revision anew; the store's history may have started over.
+    subject.watched_revision =
+        reading.whole ? store_revision : std::max(subject.watched_revision, store_revision);
     const bool was_steady = sync_.steady_since != mono_time::max();
-    note_read(sync_, subject, now());
+    note_read(sync_, reading, subject.started, now());
+    if (reading.subject == store_subject::configuration) {
+        view_.routes_trusted_until = now() + watch_wait + read_timeout;
+    }
     if (!was_steady) {
-        log_event(log_level::info, "store_regained", {{"reading", guavaramp::name_of(subject)}});
+        log_event(log_level::info, "store_regained", {{"reading", to_text(reading.subject)}});
     }
     publish();
     read_due();
 }
 
 void store_reader::publish() {
-    view_.absence_counts_from = absence_counts_from(sync_);
+    view_.steady_since = sync_.steady_since;
     context_.view.set(std::make_shared<const fleet_view>(view_));
 }
 
--- a/apps/director/store_reader.hpp
+++ b/apps/director/store_reader.hpp
@@ -9,11 +9,13 @@
 #include <asio.hpp>
 
 #include <string>
+#include <vector>
 
 namespace guavaramp {
 
-/// Reads configuration and upstreams from the platform's store when `store_sync` says so, and publishes a
-/// `fleet_view` after each reading. To be used on the thread of the Asio context only.
+/// Reads configuration and upstreams from the platform's store when `store_sync` says so: each once in whole,
+/// then by watches; in whole again after any failure. Publishes a `fleet_view` after each reading. To be used
+/// on the thread of the Asio context only.
 class store_reader {
 public:
     store_reader(asio::io_context& io, director_context& context);
@@ -21,41 +23,46 @@
     /// Starts the first readings. They go on until the context's end.
     void start();
 
-    /// Reads the listing again at once, not from a cache: a packet names an upstream that is not known.
-    void want_newest_listing();
+    /// Reads the listing in whole again: a packet names an upstream that is not known.
+    void check_listing();
 
     /// The id of the upstream behind `tag` for log lines; the tag as a number when there is none.
     [[nodiscard]] std::string name_of(steering_tag tag) const;
 
 private:
-    struct listing_in_progress {
-        upstream_listing listing;
+    /// A subject's connection, and the revision from which it is watched.
+    struct subject_reading {
+        http_session session;
         mono_time started{};
-        bool newest{false};
+        std::uint64_t watched_revision{0};
     };
 
     void read_due();
-    void read_configuration(bool newest);
-    void configuration_answered(const result<http_response>& answer, mono_time started, bool newest);
+    void read_configuration();
+    void configuration_answered(const result<http_response>& answer);
+    void configuration_watched(const result<http_response>& answer);
     void apply_configuration(const platform_adapter::store_item& item);
     void read_page(const std::string& after_key);
     void page_answered(const result<http_response>& answer);
-    void apply_listing_read();
+    void listing_watched(const result<http_response>& answer);
+    void apply_changes(const std::vector<upstream_change>& changes);
+    void watch(store_subject subject, std::string_view prefix,
+               void (store_reader::*answered)(const result<http_response>&));
     void failed(store_subject subject, const error& failure);
-    void succeeded(store_subject subject);
+    void succeeded(const due_reading& reading, std::uint64_t store_revision);
     void publish();
 
     director_context& context_;
     asio::steady_timer timer_;
-    http_session configuration_session_;
-    http_session listing_session_;
+    subject_reading configuration_;
+    subject_reading listing_;
     store_sync sync_;
     upstream_directory directory_;
+    upstream_listing pages_;  ///< of the whole reading in progress
     fleet_view view_;
-    listing_in_progress reading_;
-    std::uint64_t configuration_revision_{0};
-    counter& reads_;
-    counter& newest_reads_;
+    std::uint64_t configuration_revision_{0};  ///< of the version in force
+    counter& whole_reads_;
+    counter& watches_;
     counter& read_failures_;
     counter& unreadable_entries_;
     counter& unreadable_routes_;
--- a/libs/director/include/guavaramp/director/director.hpp
+++ b/libs/director/include/guavaramp/director/director.hpp
@@ -24,9 +24,8 @@
     mono_time listing_as_of{};
     /// Deadline until which `routes` may be taken as the newest version.
     mono_time routes_trusted_until{};
-    /// From this time on an upstream that is not listed is gone and not merely lapsed; the maximum while the
-    /// store is away or has just returned.
-    mono_time absence_counts_from{mono_time::max()};
+    /// Since when the store has answered without a failure; the maximum while it does not.
+    mono_time steady_since{mono_time::max()};
 };
 
 enum class verdict : std::uint8_t { forward, reset, drop };
--- a/libs/director/include/guavaramp/director/store_sync.hpp
+++ b/libs/director/include/guavaramp/director/store_sync.hpp
@@ -16,29 +16,27 @@
 
 inline constexpr std::size_t store_subjects = 2;
 
-/// Period between two readings while the store answers. A drain must be in force 3 s after it is accepted, and
-/// cached answers are up to a second old, which leaves time for two readings that fail.
-inline constexpr auto read_period = std::chrono::milliseconds{500};
-/// First wait after a reading that failed; doubles up to `read_period`.
+/// How long the store may hold back its answer when nothing has changed. Each answer is a call that is paid
+/// for; a connection that has gone silent is found by its keep-alive probes and not by this wait.
+inline constexpr auto watch_wait = std::chrono::milliseconds{20000};
+/// Least time between two watches of the configuration: bounds the calls that a series of changes causes.
+inline constexpr auto least_configuration_period = std::chrono::milliseconds{200};
+/// The same for the listing. A drain must be in force 3 s after it is accepted.
+inline constexpr auto least_listing_period = std::chrono::milliseconds{600};
+/// First wait after a reading that failed; doubles up to `longest_retry_wait`.
 inline constexpr auto retry_wait = std::chrono::milliseconds{100};
+inline constexpr auto longest_retry_wait = std::chrono::milliseconds{500};
 /// How long a reading may take. Above the slowest answers that the platform announces (60 times 4 ms).
 inline constexpr auto read_timeout = std::chrono::milliseconds{700};
-/// Changes that a cached answer may not show yet.
-inline constexpr auto cached_answer_age = std::chrono::milliseconds{3000};
 /// How long after the store's return an upstream may take to be listed again: two seconds by its contract, and
 /// one reading.
 inline constexpr auto relisting_time = std::chrono::milliseconds{2500};
-/// How long a configuration counts as the newest after it was read: within the time in which a change must be
-/// in force, less one reading.
-inline constexpr auto configuration_validity = std::chrono::milliseconds{2500};
-
 /// State of the readings of one subject.
 struct subject_sync {
     mono_time next_at{};
     std::uint32_t failures{0};  ///< in a row
     bool reading{false};
-    bool known{false};          ///< read at least once
-    bool want_newest{true};     ///< the next reading must not be a cached one
+    bool read_whole{true};      ///< the next reading is of everything, not of what has changed
 };
 
 struct store_sync {
@@ -49,7 +47,7 @@
 /// A reading to start now.
 struct due_reading {
     store_subject subject;
-    bool newest;  ///< whether a cached answer will not do
+    bool whole;  ///< of everything; otherwise a watch for what changes
 };
 
 /// The state of `subject`. Thread-safe for different objects.
@@ -59,24 +57,21 @@
 /// Whether `subject` should be read now; marks it as being read. Not thread-safe.
 [[nodiscard]] bool start_if_due(store_sync& sync, store_subject subject, mono_time now, due_reading& out) noexcept;
 
-/// A reading has ended well. Not thread-safe.
-void note_read(store_sync& sync, store_subject subject, mono_time now) noexcept;
+/// A reading that started at `started` has ended well. Not thread-safe.
+void note_read(store_sync& sync, const due_reading& reading, mono_time started, mono_time now) noexcept;
 
 /// A reading has failed. Returns whether this is news: the first failure after a success or the start. Not
 /// thread-safe.
 [[nodiscard]] bool note_read_failure(store_sync& sync, store_subject subject, mono_time now) noexcept;
 
-/// Makes the next reading of `subject` one that includes all confirmed changes. Not thread-safe.
-void want_newest(store_sync& sync, store_subject subject) noexcept;
+/// A whole reading has shown that the subject does not exist yet. Not thread-safe.
+void note_absent(store_sync& sync, store_subject subject, mono_time now) noexcept;
+
+/// Makes the next reading of `subject` start now, and one of everything. Precondition: it is not being read.
+/// Not thread-safe.
+void want_whole(store_sync& sync, store_subject subject, mono_time now) noexcept;
 
 /// The earliest time at which a reading is due. Not thread-safe.
 [[nodiscard]] mono_time next_reading_at(const store_sync& sync) noexcept;
 
-/// From when on an upstream that is not listed counts as gone; the maximum while the store is not steady. Not
-/// thread-safe.
-[[nodiscard]] mono_time absence_counts_from(const store_sync& sync) noexcept;
-
-/// The time up to which a reading that started at `started` includes all confirmed changes. Thread-safe.
-[[nodiscard]] mono_time includes_changes_until(mono_time started, bool newest) noexcept;
-
 }  // namespace guavaramp
--- a/libs/director/include/guavaramp/director/upstreams.hpp
+++ b/libs/director/include/guavaramp/director/upstreams.hpp
@@ -78,6 +78,19 @@
 [[nodiscard]] std::string_view to_string(upstream_change_kind kind) noexcept;
 [[nodiscard]] std::string_view to_string(upstream_phase phase) noexcept;
 
+/// An entry that was removed from the platform's list.
+struct removed_upstream {
+    std::string id;
+    std::uint64_t revision{0};  ///< of the removal
+};
+
+/// What has changed since a listing. No id is in both lists.
+struct upstream_news {
+    std::uint64_t revision{0};
+    std::vector<upstream_report> reports;
+    std::vector<removed_upstream> removed;
+};
+
 /// Brings the directory up to `listing`. A listing or entry older than what is known changes nothing, because
 /// reads of the store may go back in time. An upstream that is missing stays known as unlisted until
 /// `keep_unlisted_since`, so that its flows can still be told from flows of nobody. Not thread-safe.
@@ -85,6 +98,10 @@
                                                          const upstream_listing& listing, mono_time now,
                                                          mono_time keep_unlisted_since);
 
+/// Applies what has changed. Entries older than what is known change nothing. Not thread-safe.
+[[nodiscard]] std::vector<upstream_change> apply_news(upstream_directory& directory, const upstream_news& news,
+                                                      mono_time now, mono_time keep_unlisted_since);
+
 /// An immutable copy of the directory for the packet path. Any thread may read it.
 struct upstream_index {
     std::vector<known_upstream> upstreams;
--- a/libs/director/src/director.cpp
+++ b/libs/director/src/director.cpp
@@ -1,6 +1,7 @@
 #include <guavaramp/director/director.hpp>
 
 #include <guavaramp/director/choice.hpp>
+#include <guavaramp/director/store_sync.hpp>
 
 #include <array>
 
@@ -10,6 +11,8 @@
 /// A host that left the list may still finish answers; its flows are reset once they have shown no progress
 /// for this long. Five times the callers' first repeat.
 constexpr auto progress_protects = std::chrono::milliseconds{1000};
+/// Callers repeat unanswered data after 200 ms; data seen again sooner was overtaken on its way.
+constexpr auto least_repeat_time = std::chrono::milliseconds{150};
 /// Idle time after which a flow is forgotten when the configuration says nothing.
 constexpr auto default_idle_timeout = std::chrono::milliseconds{15000};
 /// Unexplained tags that are remembered; further ones are dropped as unconfirmed until there is room.
@@ -100,6 +103,17 @@
     return forward(*chosen, tag, decision_reason::placed);
 }
 
+/// From when on it counts that an upstream is not listed since `absent_since`: after the store's return, hosts
+/// take some time to be listed again.
+mono_time settled_at(const fleet_view& view, mono_time absent_since) noexcept {
+    return view.steady_since == mono_time::max() ? view.steady_since
+                                                 : std::max(absent_since, view.steady_since) + relisting_time;
+}
+
+bool is_gone(const fleet_view& view, const known_upstream& upstream, mono_time now) noexcept {
+    return !upstream.listed && now >= settled_at(view, upstream.unlisted_at);
+}
+
 /// A tag that no listing explains: the flow's upstream may have been listed after the last reading.
 decision explain_tag(director_state& state, const fleet_view& view, const flow_packet& packet,
                      steering_tag tag, mono_time now) {
@@ -108,7 +122,7 @@
         return drop(decision_reason::unknown_tag_unconfirmed);
     }
     const auto first_seen = state.unexplained_tags.try_emplace(key, now).first->second;
-    const bool confirmed = view.listing_as_of > first_seen && view.listing_as_of >= view.absence_counts_from;
+    const bool confirmed = view.listing_as_of > first_seen && now >= settled_at(view, first_seen);
     if (!confirmed) {
         return drop(decision_reason::unknown_tag_unconfirmed);
     }
@@ -161,7 +175,9 @@
         }
         return false;
     }
-    return entry.unanswered_since != mono_time{} && note_silence(health, entry.unanswered_since, now);
+    const bool repeated =
+        entry.unanswered_since != mono_time{} && now - entry.unanswered_since >= least_repeat_time;
+    return repeated && note_silence(health, entry.unanswered_since, now);
 }
 
 decision steer(director_state& state, const fleet_view& view, const flow_packet& packet, mono_time now) {
@@ -181,8 +197,7 @@
     }
     const bool probe = entry != nullptr && observe(state, *entry, packet, now);
     const auto& health = health_of(state, tag);
-    const bool absent = !target->listed && view.listing_as_of >= view.absence_counts_from;
-    if (absent && now - health.last_progress > progress_protects) {
+    if (is_gone(view, *target, now) && now - health.last_progress > progress_protects) {
         remove_flow(state.flows, packet.flow);
         return reset(packet, decision_reason::upstream_gone, target);
     }
--- a/libs/director/src/store_sync.cpp
+++ b/libs/director/src/store_sync.cpp
@@ -5,12 +5,12 @@
 namespace guavaramp {
 namespace {
 
-/// Doublings of the wait after failures: 100, 200, 400 ms, then the read period.
+/// Doublings of the wait after failures: 100, 200, 400 ms, then the longest wait.
 constexpr std::uint32_t most_doublings = 3;
 
 std::chrono::milliseconds wait_after(std::uint32_t failures) noexcept {
     const auto doublings = std::min(failures - 1, most_doublings);
-    return std::min<std::chrono::milliseconds>(retry_wait * (1U << doublings), read_period);
+    return std::min<std::chrono::milliseconds>(retry_wait * (1U << doublings), longest_retry_wait);
 }
 
 }  // namespace
@@ -29,13 +29,16 @@
         return false;
     }
     state.reading = true;
-    out = {.subject = subject, .newest = state.want_newest};
+    out = {.subject = subject, .whole = state.read_whole};
     return true;
 }
 
-void note_read(store_sync& sync, store_subject subject, mono_time now) noexcept {
-    auto& state = sync_of(sync, subject);
-    state = {.next_at = now + read_period, .known = true, .want_newest = false};
+void note_read(store_sync& sync, const due_reading& reading, mono_time started, mono_time now) noexcept {
+    const bool configuration = reading.subject == store_subject::configuration;
+    const auto least_period = configuration ? least_configuration_period : least_listing_period;
+    // The first watch follows the reading at once; the time since then is not covered yet.
+    const auto next_at = reading.whole ? now : std::max(now, started + least_period);
+    sync_of(sync, reading.subject) = {.next_at = next_at, .read_whole = false};
     if (sync.steady_since == mono_time::max()) {
         sync.steady_since = now;
     }
@@ -46,14 +49,20 @@
     state.reading = false;
     ++state.failures;
     state.next_at = now + wait_after(state.failures);
-    state.want_newest = true;
+    state.read_whole = true;
     const bool news = sync.steady_since != mono_time::max() || state.failures == 1;
     sync.steady_since = mono_time::max();
     return news;
 }
 
-void want_newest(store_sync& sync, store_subject subject) noexcept {
-    sync_of(sync, subject).want_newest = true;
+void note_absent(store_sync& sync, store_subject subject, mono_time now) noexcept {
+    sync_of(sync, subject) = {.next_at = now + longest_retry_wait};
+}
+
+void want_whole(store_sync& sync, store_subject subject, mono_time now) noexcept {
+    auto& state = sync_of(sync, subject);
+    state.read_whole = true;
+    state.next_at = now;
 }
 
 mono_time next_reading_at(const store_sync& sync) noexcept {
@@ -66,12 +75,4 @@
     return earliest;
 }
 
-mono_time absence_counts_from(const store_sync& sync) noexcept {
-    return sync.steady_since == mono_time::max() ? sync.steady_since : sync.steady_since + relisting_time;
-}
-
-mono_time includes_changes_until(mono_time started, bool newest) noexcept {
-    return newest ? started : started - cached_answer_age;
-}
-
 }  // namespace guavaramp
--- a/libs/director/src/upstreams.cpp
+++ b/libs/director/src/upstreams.cpp
@@ -48,6 +48,26 @@
     known.report = report;
 }
 
+void unlist(known_upstream& known, mono_time now, std::vector<upstream_change>& changes) {
+    if (known.listed) {
+        known.listed = false;
+        known.unlisted_at = now;
+        changes.push_back(change_of(upstream_change_kind::unlisted, known.report));
+    }
+}
+
+void forget_unlisted(upstream_directory& directory, mono_time keep_since,
+                     std::vector<upstream_change>& changes) {
+    std::erase_if(directory.by_id, [keep_since, &changes](const auto& item) {
+        const auto& known = item.second;
+        const bool forgotten = !known.listed && known.unlisted_at < keep_since;
+        if (forgotten) {
+            changes.push_back(change_of(upstream_change_kind::forgotten, known.report));
+        }
+        return forgotten;
+    });
+}
+
 }  // namespace
 
 steering_tag tag_of(std::uint64_t delivery_id) noexcept {
@@ -100,20 +120,29 @@
         present.insert(report.id);
         apply_report(directory, report, changes);
     }
-    for (auto position = directory.by_id.begin(); position != directory.by_id.end();) {
-        auto& known = position->second;
-        if (known.listed && !present.contains(position->first)) {
-            known.listed = false;
-            known.unlisted_at = now;
-            changes.push_back(change_of(upstream_change_kind::unlisted, known.report));
+    for (auto& [id, known] : directory.by_id) {
+        if (!present.contains(id)) {
+            unlist(known, now, changes);
         }
-        if (!known.listed && known.unlisted_at < keep_unlisted_since) {
-            changes.push_back(change_of(upstream_change_kind::forgotten, known.report));
-            position = directory.by_id.erase(position);
-        } else {
-            ++position;
+    }
+    forget_unlisted(directory, keep_unlisted_since, changes);
+    return changes;
+}
+
+std::vector<upstream_change> apply_news(upstream_directory& directory, const upstream_news& news,
+                                        mono_time now, mono_time keep_unlisted_since) {
+    std::vector<upstream_change> changes;
+    directory.revision = std::max(directory.revision, news.revision);
+    for (const auto& report : news.reports) {
+        apply_report(directory, report, changes);
+    }
+    for (const auto& removed : news.removed) {
+        const auto found = directory.by_id.find(removed.id);
+        if (found != directory.by_id.end() && removed.revision > found->second.report.revision) {
+            unlist(found->second, now, changes);
         }
     }
+    forget_unlisted(directory, keep_unlisted_since, changes);
     return changes;
 }
 
--- a/libs/net/include/guavaramp/net/http_session.hpp
+++ b/libs/net/include/guavaramp/net/http_session.hpp
@@ -32,6 +32,9 @@
     /// `deadline_exceeded`. Precondition: `!is_busy()`.
     void get(const std::string& target, mono_time deadline, handler done);
 
+    /// Gives up the call in progress, if any; its `done` does not run.
+    void cancel();
+
     /// Whether a call is in progress.
     [[nodiscard]] bool is_busy() const noexcept;
 
--- a/libs/net/src/http_session.cpp
+++ b/libs/net/src/http_session.cpp
@@ -2,6 +2,7 @@
 
 #include <asio.hpp>
 #include <http_parser.h>
+#include <netinet/tcp.h>
 
 #include <array>
 
@@ -14,6 +15,13 @@
 constexpr std::size_t max_answer_bytes = 4U << 20U;
 constexpr std::size_t read_chunk_bytes = 8192;
 
+// A connection can go silent for good while new ones work. Its keep-alive probes show that within two seconds,
+// so that a call that waits long for its answer does not hang.
+constexpr int keep_alive_idle_s = 1;
+constexpr int keep_alive_interval_s = 1;
+constexpr int keep_alive_probes = 2;
+constexpr unsigned unacknowledged_limit_ms = 2000;
+
 tcp::endpoint to_asio(const endpoint& value) {
     if (is_ipv4(value.address)) {
         return {asio::ip::address_v4{to_ipv4(value.address)}, value.port};
@@ -71,12 +79,24 @@
                 return;
             }
             self->connected = true;
-            std::error_code ignored;  // latency only; the call works without it
-            self->socket.set_option(tcp::no_delay{true}, ignored);
+            self->set_options();
             self->write();
         });
     }
 
+    /// Options that only improve latency and detection; the call works without them.
+    void set_options() {
+        std::error_code ignored;
+        socket.set_option(tcp::no_delay{true}, ignored);
+        socket.set_option(asio::socket_base::keep_alive{true}, ignored);
+        const int handle = socket.native_handle();
+        setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &keep_alive_idle_s, sizeof keep_alive_idle_s);
+        setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &keep_alive_interval_s, sizeof keep_alive_interval_s);
+        setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &keep_alive_probes, sizeof keep_alive_probes);
+        setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_limit_ms,
+                   sizeof unacknowledged_limit_ms);
+    }
+
     void write() {
         asio::async_write(socket, asio::buffer(request),
                           [self = shared_from_this(), number = call](const std::error_code& failure,
@@ -162,9 +182,11 @@
 http_session::http_session(asio::io_context& context, const endpoint& peer)
     : state_(std::make_shared<state>(context, peer)) {}
 
-http_session::~http_session() {
+http_session::~http_session() { cancel(); }
+
+void http_session::cancel() {
     state_->done = nullptr;
-    state_->finish(fail(error_kind::cancelled, "the session ended"));
+    state_->finish(fail(error_kind::cancelled, "the call was given up"));
 }
 
 void http_session::get(const std::string& target, mono_time deadline, handler done) {
