Suspect silent hosts early and tell their callers at once

Change: an opening packet that is unanswered for 40 ms goes to another host; a request unanswered for 80 ms, with no answer from its host meanwhile, causes a TCP probe; when it fails, all flows of that host are reset at once, so that idle callers learn it before their next request.

--- a/apps/director/packet_duty.cpp
+++ b/apps/director/packet_duty.cpp
@@ -64,6 +64,7 @@
             for (auto batch = socket_.receive(); !batch.empty(); batch = socket_.receive()) {
                 handle_batch(batch);
             }
+            do_due_work();
             if (now() >= housekeeping_at_) {
                 keep_house();
             }
@@ -72,7 +73,7 @@
 
     void wait() {
         const auto started = now();
-        const auto deadline = probes_.next_deadline(started + longest_wait);
+        const auto deadline = next_due(state_, probes_.next_deadline(started + longest_wait));
         polled_.clear();
         polled_.push_back({.fd = socket_.native_handle(), .events = POLLIN, .revents = 0});
         probes_.add_to_poll(polled_);
@@ -109,13 +110,12 @@
         const auto decided = decide(state_, *view_, packet, time);
         decided_.at(static_cast<std::size_t>(decided.reason))->add();
         if (decided.outcome == verdict::forward) {
-            const auto& target = decided.target->report;
-            socket_.send({.address = from_ipv4(target.address), .port = target.port},
-                         encode_delivery(bytes, target.delivery_id, decided.tag, delivery_));
+            deliver(bytes, decided.target->report, decided.tag);
+            if (decided.reason == decision_reason::placed) {
+                remember_open(state_, packet, bytes, time);
+            }
         } else if (decided.outcome == verdict::reset) {
-            socket_.send({.address = from_ipv4(packet.flow.caller_address),
-                          .port = context_.settings.packets.port},
-                         encode_reset(packet));
+            send_reset({.flow = packet.flow, .sequence = packet.opens ? 0 : packet.acknowledgement});
         }
         if (decided.reason == decision_reason::unknown_tag_unconfirmed) {
             context_.wants_listing = true;
@@ -126,6 +126,51 @@
         record(packet, decided, bytes, time);
     }
 
+    void deliver(std::span<const std::byte> bytes, const upstream_report& target, steering_tag tag) {
+        socket_.send({.address = from_ipv4(target.address), .port = target.port},
+                     encode_delivery(bytes, target.delivery_id, tag, delivery_));
+    }
+
+    void send_reset(const flow_reset& reset) {
+        socket_.send({.address = from_ipv4(reset.flow.caller_address), .port = context_.settings.packets.port},
+                     encode_reset(reset.flow, reset.sequence));
+    }
+
+    void do_due_work() {
+        if (view_ == nullptr || view_->upstreams == nullptr) {
+            return;
+        }
+        const auto time = now();
+        const auto due = collect_due(state_, *view_, time);
+        for (const auto& reopened : due.reopened) {
+            deliver(reopened.packet, reopened.target->report, reopened.tag);
+            reopened_.add();
+            log_decision({.flow = reopened.flow,
+                          .outcome = verdict::forward,
+                          .reason = decision_reason::placed_elsewhere,
+                          .tag = static_cast<std::uint32_t>(reopened.tag)},
+                         time);
+        }
+        for (const auto* suspect : due.probes) {
+            start_probe(*suspect, time);
+        }
+        socket_.flush();
+    }
+
+    /// Tells the callers of an upstream that has just become unreachable.
+    void reset_flows_of(steering_tag tag, mono_time time) {
+        for (const auto& reset : take_flows_of(state_, tag)) {
+            send_reset(reset);
+            decided_.at(static_cast<std::size_t>(decision_reason::upstream_unreachable))->add();
+            log_decision({.flow = reset.flow,
+                          .outcome = verdict::reset,
+                          .reason = decision_reason::upstream_unreachable,
+                          .tag = static_cast<std::uint32_t>(tag)},
+                         time);
+        }
+        socket_.flush();
+    }
+
     void start_probe(const known_upstream& target, mono_time time) {
         const auto tag = tag_of(target.report.delivery_id);
         note_probe_started(health_of(state_, tag), time);
@@ -146,6 +191,9 @@
             if (!context_.probes.push(record)) {
                 records_lost_.add();
             }
+            if (health.unreachable && !was_unreachable) {
+                reset_flows_of(steering_tag{finished.key}, time);
+            }
         }
     }
 
@@ -155,15 +203,20 @@
         if (!is_logged(decided, request_id)) {
             return;
         }
-        const decision_record record{
-            .flow = packet.flow,
-            .outcome = decided.outcome,
-            .reason = decided.reason,
-            .tag = static_cast<std::uint32_t>(decided.target == nullptr ? packet.tag : tag_of(decided.target->report.delivery_id)),
-            .configuration_version = view_->routes == nullptr ? 0 : view_->routes->version,
-            .listing_as_of = view_->listing_as_of,
-            .decided_at = time,
-            .request_id = request_id};
+        const auto tag = decided.target == nullptr ? packet.tag : tag_of(decided.target->report.delivery_id);
+        log_decision({.flow = packet.flow,
+                      .outcome = decided.outcome,
+                      .reason = decided.reason,
+                      .tag = static_cast<std::uint32_t>(tag),
+                      .request_id = request_id},
+                     time);
+    }
+
+    /// Hands a decision to the control thread, with the versions of what it was based on.
+    void log_decision(decision_record record, mono_time time) {
+        record.configuration_version = view_->routes == nullptr ? 0 : view_->routes->version;
+        record.listing_as_of = view_->listing_as_of;
+        record.decided_at = time;
         if (!context_.decisions.push(record)) {
             records_lost_.add();
         }
@@ -213,6 +266,8 @@
     std::array<counter*, decision_reasons> decided_{make_decision_counters()};
     std::array<counter*, packet_faults> malformed_{make_fault_counters()};
     counter& probes_started_{context_.counters.get("probes_total", "TCP probes of suspected upstreams")};
+    counter& reopened_{context_.counters.get(
+        "opens_moved_total", "Unanswered opening packets that were sent to another upstream")};
     counter& records_lost_{context_.counters.get("log_records_lost_total", "Decisions that were not logged")};
     counter& flows_held_{context_.counters.get("flows", "Flows held", "", counter_kind::gauge)};
     counter& send_failures_{
--- a/libs/director/include/guavaramp/director/director.hpp
+++ b/libs/director/include/guavaramp/director/director.hpp
@@ -6,8 +6,11 @@
 #include <guavaramp/director/routes.hpp>
 #include <guavaramp/director/upstreams.hpp>
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -32,7 +35,8 @@
 
 /// Why a packet got its verdict. Each value is a counter's label and the `reason` of a log line.
 enum class decision_reason : std::uint8_t {
-    placed,                ///< new flow, or a copy of its opening packet sent on to the same host
+    placed,                ///< new flow
+    placed_again,          ///< a copy of the opening packet; there is no other host
     placed_elsewhere,      ///< the first host left the opening packet unanswered
     known_flow,            ///< the flow's entry names the upstream
     tagged_flow,           ///< no entry; the packet's tag names the upstream
@@ -48,7 +52,7 @@
     upstream_unreachable   ///< a probe has just failed
 };
 
-inline constexpr std::size_t decision_reasons = 14;
+inline constexpr std::size_t decision_reasons = 15;
 
 /// Text forms for counters and log lines. Thread-safe.
 [[nodiscard]] std::string_view to_string(verdict value) noexcept;
@@ -63,12 +67,31 @@
     const known_upstream* probe{nullptr};  ///< an upstream that the packet makes suspect, to be probed now
 };
 
+/// An opening packet that no host has answered yet. The director sends it to another host long before the
+/// caller's own copy would come.
+struct pending_open {
+    flow_tuple flow;
+    std::uint32_t sequence{0};
+    mono_time due_at{};
+    std::uint32_t hosts_tried{1};
+    std::vector<std::byte> packet;  ///< as received
+};
+
+/// A request whose answer is due.
+struct pending_answer {
+    flow_tuple flow;
+    mono_time sent_at{};
+    mono_time due_at{};
+};
+
 /// Everything that a director remembers between packets. Not thread-safe: one thread owns it.
 struct director_state {
     flow_cache flows;
     std::unordered_map<std::uint32_t, host_health> health;  ///< by tag
     /// When a tag that no listing explains was first seen.
     std::unordered_map<std::uint32_t, mono_time> unexplained_tags;
+    std::deque<pending_open> opens;      ///< by `due_at`
+    std::deque<pending_answer> answers;  ///< by `due_at`
 };
 
 /// Decides what happens to a caller's packet, and learns from it. Precondition: `now` does not go back. Not
@@ -76,6 +99,41 @@
 [[nodiscard]] decision decide(director_state& state, const fleet_view& view, const flow_packet& packet,
                               mono_time now);
 
+/// Remembers an opening packet that was forwarded, until a host answers. Not thread-safe.
+void remember_open(director_state& state, const flow_packet& packet, std::span<const std::byte> bytes,
+                   mono_time now);
+
+/// The earliest time at which `collect_due` has work; `otherwise` when there is none before it. Forgets what
+/// has been answered. Not thread-safe.
+[[nodiscard]] mono_time next_due(director_state& state, mono_time otherwise);
+
+/// An opening packet that goes to another host.
+struct reopened_flow {
+    flow_tuple flow;
+    const known_upstream* target{nullptr};
+    steering_tag tag{no_tag};
+    std::vector<std::byte> packet;
+};
+
+/// What is due without a packet from a caller. Pointers lead into the view.
+struct due_work {
+    std::vector<reopened_flow> reopened;
+    std::vector<const known_upstream*> probes;
+};
+
+/// Finds opening packets and requests that have waited longer than a living host takes. Not thread-safe.
+[[nodiscard]] due_work collect_due(director_state& state, const fleet_view& view, mono_time now);
+
+/// A flow that its caller should give up, with the sequence number that makes the reset acceptable.
+struct flow_reset {
+    flow_tuple flow;
+    std::uint32_t sequence{0};
+};
+
+/// Takes the flows of an upstream out of the cache. To be called when it has become unreachable: its callers
+/// then learn it before they send their next request, which could not be repeated. Not thread-safe.
+[[nodiscard]] std::vector<flow_reset> take_flows_of(director_state& state, steering_tag tag);
+
 /// The health record of the upstream behind `tag`. Not thread-safe.
 [[nodiscard]] host_health& health_of(director_state& state, steering_tag tag);
 
--- a/libs/director/include/guavaramp/director/flow_cache.hpp
+++ b/libs/director/include/guavaramp/director/flow_cache.hpp
@@ -24,11 +24,19 @@
     bool closing{false};
 };
 
-/// Flows by tuple, and how many open ones each upstream has. Not thread-safe: one thread owns it.
+/// Work of one upstream as seen by one director.
+struct upstream_work {
+    std::uint32_t open{0};     ///< flows that are not closing
+    std::uint32_t waiting{0};  ///< those whose caller waits for an answer
+
+    friend bool operator==(const upstream_work&, const upstream_work&) = default;
+};
+
+/// Flows by tuple, and the work of each upstream. Not thread-safe: one thread owns it.
 struct flow_cache {
     std::size_t max_flows{1U << 16U};
     std::unordered_map<flow_tuple, flow_entry> flows;
-    std::unordered_map<std::uint32_t, std::uint32_t> open_by_tag;
+    std::unordered_map<std::uint32_t, upstream_work> work_by_tag;
 };
 
 /// The entry of `flow`, or null. Not thread-safe.
@@ -41,7 +49,10 @@
 /// Moves a flow to another upstream. Not thread-safe.
 void retag_flow(flow_cache& cache, flow_entry& entry, steering_tag tag);
 
-/// Marks a flow as closing: it no longer counts as open at its upstream. Not thread-safe.
+/// Sets since when the caller waits for an answer; the epoch when it does not. Not thread-safe.
+void set_unanswered(flow_cache& cache, flow_entry& entry, mono_time since);
+
+/// Marks a flow as closing: it no longer counts as work of its upstream. Not thread-safe.
 void close_flow(flow_cache& cache, flow_entry& entry);
 
 /// Forgets a flow. Not thread-safe.
@@ -50,7 +61,7 @@
 /// Forgets the flows that were last seen before `oldest`. Not thread-safe.
 void expire_flows(flow_cache& cache, mono_time oldest);
 
-/// Open flows of an upstream at this director. Not thread-safe.
-[[nodiscard]] std::uint32_t open_flows(const flow_cache& cache, steering_tag tag) noexcept;
+/// Work of an upstream at this director. Not thread-safe.
+[[nodiscard]] upstream_work work_of(const flow_cache& cache, steering_tag tag) noexcept;
 
 }  // namespace guavaramp
--- a/libs/director/include/guavaramp/director/host_health.hpp
+++ b/libs/director/include/guavaramp/director/host_health.hpp
@@ -30,10 +30,11 @@
 /// What one director knows of one upstream's reachability.
 struct host_health {
     mono_time last_progress{};      ///< when a flow last showed that the host had answered
-    mono_time last_silence{};       ///< when an unanswered packet was last repeated
+    mono_time last_silence{};       ///< when a packet was last found unanswered for too long
     mono_time unreachable_until{};  ///< deadline of the belief that the host cannot be reached
     mono_time avoid_until{};        ///< deadline until which new flows prefer other hosts
     mono_time next_probe_at{};
+    double answer_time_ms{0};       ///< moving average of request to first answer; 0: none yet
     bool probing{false};
     bool unreachable{false};  ///< the last probe failed; probed again until one succeeds
 
@@ -43,7 +44,10 @@
 /// A flow showed that the host answered. Not thread-safe.
 void note_progress(host_health& health, mono_time now) noexcept;
 
-/// A caller repeated a packet that it first sent at `first_sent`. Returns whether a probe should start now.
+/// A flow's request, sent at `sent`, has its first answer. Not thread-safe.
+void note_answer(host_health& health, mono_time sent, mono_time now) noexcept;
+
+/// A packet that a caller first sent at `first_sent` is still unanswered, later than answers come. Returns whether a probe should start now.
 /// Not thread-safe.
 [[nodiscard]] bool note_silence(host_health& health, mono_time first_sent, mono_time now) noexcept;
 
--- a/libs/director/src/director.cpp
+++ b/libs/director/src/director.cpp
@@ -13,6 +13,16 @@
 constexpr auto progress_protects = std::chrono::milliseconds{1000};
 /// Callers repeat unanswered data after 200 ms; data seen again sooner was overtaken on its way.
 constexpr auto least_repeat_time = std::chrono::milliseconds{150};
+/// A living host answers an opening packet within a round trip, at most 10 ms between failure domains; the
+/// rest is for its processor.
+constexpr auto open_answer_time = std::chrono::milliseconds{40};
+/// Hosts that one opening packet is sent to before the caller's own copy.
+constexpr std::uint32_t most_hosts_tried = 3;
+/// A request that has waited this long makes a host suspect if none of its flows has had an answer meanwhile.
+/// Four times the usual work of a request.
+constexpr auto request_answer_time = std::chrono::milliseconds{80};
+/// Opening packets and requests that are waited for; beyond this only the callers' repeats are evidence.
+constexpr std::size_t max_pending = 8192;
 /// Idle time after which a flow is forgotten when the configuration says nothing.
 constexpr auto default_idle_timeout = std::chrono::milliseconds{15000};
 /// Unexplained tags that are remembered; further ones are dropped as unconfirmed until there is room.
@@ -21,7 +31,7 @@
 constexpr auto keep_unexplained_tag = std::chrono::seconds{30};
 
 constexpr std::array<std::string_view, decision_reasons> reason_names{
-    "placed",      "placed_elsewhere", "known_flow",           "tagged_flow",
+    "placed", "placed_again", "placed_elsewhere", "known_flow", "tagged_flow",
     "no_configuration", "no_route",    "no_route_unconfirmed", "no_listing",
     "no_upstream", "untagged",         "unknown_tag",          "unknown_tag_unconfirmed",
     "upstream_gone",    "upstream_unreachable"};
@@ -50,24 +60,33 @@
     return reset(packet, decision_reason::no_route);
 }
 
-/// A copy of an opening packet: the host it went to has not answered within the caller's repeat time.
-decision place_copy(director_state& state, const fleet_view& view, flow_entry& entry,
-                    const known_upstream& chosen, mono_time now) {
+/// The host that a flow's opening packet went to has not answered: moves the flow to `chosen`. Returns the
+/// silent host if it should be probed.
+const known_upstream* move_unopened(director_state& state, const fleet_view& view, flow_entry& entry,
+                                    const known_upstream& chosen, mono_time now) {
     auto& health = health_of(state, entry.tag);
     const auto* silent = find_by_tag(*view.upstreams, entry.tag);
     const bool probe = note_silence(health, entry.unanswered_since, now) && silent != nullptr;
     health.avoid_until = now + avoid_after_silence;
     const auto tag = tag_of(chosen.report.delivery_id);
-    auto decided = forward(chosen, tag, decision_reason::placed);
     if (tag != entry.tag) {
-        decided.reason = decision_reason::placed_elsewhere;
         entry.earlier_tag = entry.tag;
         retag_flow(state.flows, entry, tag);
     }
-    entry.last_seen = now;
-    entry.unanswered_since = now;
-    decided.probe = probe ? silent : nullptr;
-    return decided;
+    set_unanswered(state.flows, entry, now);
+    return probe ? silent : nullptr;
+}
+
+/// The upstream for a new flow of `matched`, or null when none of its services takes new flows.
+const known_upstream* choose_for(const director_state& state, const fleet_view& view, const route& matched,
+                                 const flow_tuple& flow, steering_tag except, mono_time now) {
+    const auto hash = hash_of(flow);
+    for (const auto* service : services_in_order(matched, hash)) {
+        if (const auto* chosen = choose_upstream(state, view, *service, hash, except, now)) {
+            return chosen;
+        }
+    }
+    return nullptr;
 }
 
 decision place(director_state& state, const fleet_view& view, const route& matched, const flow_packet& packet,
@@ -78,22 +97,22 @@
     auto* entry = find_flow(state.flows, packet.flow);
     const bool copy =
         entry != nullptr && !entry->established && entry->opening_sequence == packet.sequence;
-    const auto hash = hash_of(packet.flow);
-    const known_upstream* chosen = nullptr;
-    for (const auto* service : services_in_order(matched, hash)) {
-        chosen = choose_upstream(state, view, *service, hash, copy ? entry->tag : no_tag, now);
-        if (chosen != nullptr) {
-            break;
-        }
-    }
+    const auto except = copy ? entry->tag : no_tag;
+    const auto* chosen = choose_for(state, view, matched, packet.flow, except, now);
     if (chosen == nullptr) {
         remove_flow(state.flows, packet.flow);
         return reset(packet, decision_reason::no_upstream);
     }
+    const auto tag = tag_of(chosen->report.delivery_id);
     if (copy) {
-        return place_copy(state, view, *entry, *chosen, now);
+        const bool moved = tag != entry->tag;
+        entry->last_seen = now;
+        const auto* probe = move_unopened(state, view, *entry, *chosen, now);
+        auto decided = forward(
+            *chosen, tag, moved ? decision_reason::placed_elsewhere : decision_reason::placed_again);
+        decided.probe = probe;
+        return decided;
     }
-    const auto tag = tag_of(chosen->report.delivery_id);
     add_flow(state.flows, packet.flow,
              {.tag = tag,
               .opening_sequence = packet.sequence,
@@ -149,7 +168,7 @@
         }
         entry->established = true;
         entry->last_acknowledged = packet.acknowledgement;
-        entry->unanswered_since = mono_time{};
+        set_unanswered(state.flows, *entry, mono_time{});
         note_progress(health_of(state, entry->tag), now);
     }
     return entry;
@@ -161,8 +180,12 @@
     entry.last_seen = now;
     if (is_after(packet.acknowledgement, entry.last_acknowledged)) {
         entry.last_acknowledged = packet.acknowledgement;
-        entry.unanswered_since = mono_time{};
-        note_progress(health, now);
+        if (entry.unanswered_since != mono_time{}) {
+            note_answer(health, entry.unanswered_since, now);
+        } else {
+            note_progress(health, now);
+        }
+        set_unanswered(state.flows, entry, mono_time{});
     }
     if (packet.payload_bytes == 0) {
         return false;
@@ -171,7 +194,11 @@
     if (is_after(end, entry.sent_until)) {
         entry.sent_until = end;
         if (entry.unanswered_since == mono_time{}) {
-            entry.unanswered_since = now;
+            set_unanswered(state.flows, entry, now);
+            if (state.answers.size() < max_pending) {
+                state.answers.push_back(
+                    {.flow = packet.flow, .sent_at = now, .due_at = now + request_answer_time});
+            }
         }
         return false;
     }
@@ -216,6 +243,48 @@
     return decided;
 }
 
+/// The entry of a flow that still waits for the answer to its opening packet, or null.
+flow_entry* unopened_entry(director_state& state, const pending_open& pending) noexcept {
+    auto* entry = find_flow(state.flows, pending.flow);
+    const bool waits =
+        entry != nullptr && !entry->established && entry->opening_sequence == pending.sequence;
+    return waits ? entry : nullptr;
+}
+
+/// The entry of a flow that still waits for the answer to that request, or null.
+const flow_entry* waiting_entry(director_state& state, const pending_answer& pending) noexcept {
+    const auto* entry = find_flow(state.flows, pending.flow);
+    return entry != nullptr && entry->unanswered_since == pending.sent_at ? entry : nullptr;
+}
+
+void add_probe(const fleet_view& view, steering_tag tag, due_work& due) {
+    if (const auto* suspect = find_by_tag(*view.upstreams, tag)) {
+        due.probes.push_back(suspect);
+    }
+}
+
+/// Sends an unanswered opening packet to another host, unless there is none or it was sent to enough.
+void reopen(director_state& state, const fleet_view& view, pending_open pending, mono_time now, due_work& due) {
+    auto* entry = unopened_entry(state, pending);
+    const auto* matched = view.routes == nullptr ? nullptr : find_route(*view.routes, pending.flow);
+    if (entry == nullptr || matched == nullptr || view.upstreams == nullptr) {
+        return;
+    }
+    const auto* chosen = choose_for(state, view, *matched, pending.flow, entry->tag, now);
+    if (chosen == nullptr || tag_of(chosen->report.delivery_id) == entry->tag) {
+        return;
+    }
+    if (const auto* probe = move_unopened(state, view, *entry, *chosen, now)) {
+        due.probes.push_back(probe);
+    }
+    due.reopened.push_back(
+        {.flow = pending.flow, .target = chosen, .tag = entry->tag, .packet = pending.packet});
+    if (++pending.hosts_tried < most_hosts_tried) {
+        pending.due_at = now + open_answer_time;
+        state.opens.push_back(std::move(pending));
+    }
+}
+
 }  // namespace
 
 std::string_view to_string(verdict value) noexcept {
@@ -246,6 +315,63 @@
     return packet.opens ? place(state, view, *matched, packet, now) : steer(state, view, packet, now);
 }
 
+void remember_open(director_state& state, const flow_packet& packet, std::span<const std::byte> bytes,
+                   mono_time now) {
+    if (state.opens.size() < max_pending) {
+        state.opens.push_back({.flow = packet.flow,
+                               .sequence = packet.sequence,
+                               .due_at = now + open_answer_time,
+                               .packet = {bytes.begin(), bytes.end()}});
+    }
+}
+
+mono_time next_due(director_state& state, mono_time otherwise) {
+    while (!state.opens.empty() && unopened_entry(state, state.opens.front()) == nullptr) {
+        state.opens.pop_front();
+    }
+    while (!state.answers.empty() && waiting_entry(state, state.answers.front()) == nullptr) {
+        state.answers.pop_front();
+    }
+    if (!state.opens.empty()) {
+        otherwise = std::min(otherwise, state.opens.front().due_at);
+    }
+    if (!state.answers.empty()) {
+        otherwise = std::min(otherwise, state.answers.front().due_at);
+    }
+    return otherwise;
+}
+
+due_work collect_due(director_state& state, const fleet_view& view, mono_time now) {
+    due_work due;
+    while (!state.opens.empty() && state.opens.front().due_at <= now) {
+        auto pending = std::move(state.opens.front());
+        state.opens.pop_front();
+        reopen(state, view, std::move(pending), now, due);
+    }
+    while (!state.answers.empty() && state.answers.front().due_at <= now) {
+        const auto pending = state.answers.front();
+        state.answers.pop_front();
+        const auto* entry = waiting_entry(state, pending);
+        if (entry != nullptr && note_silence(health_of(state, entry->tag), pending.sent_at, now)) {
+            add_probe(view, entry->tag, due);
+        }
+    }
+    return due;
+}
+
+std::vector<flow_reset> take_flows_of(director_state& state, steering_tag tag) {
+    std::vector<flow_reset> taken;
+    for (const auto& [flow, entry] : state.flows.flows) {
+        if (entry.tag == tag && entry.established) {
+            taken.push_back({.flow = flow, .sequence = entry.last_acknowledged});
+        }
+    }
+    for (const auto& reset : taken) {
+        remove_flow(state.flows, reset.flow);
+    }
+    return taken;
+}
+
 host_health& health_of(director_state& state, steering_tag tag) {
     return state.health[static_cast<std::uint32_t>(tag)];
 }
--- a/libs/director/src/flow_cache.cpp
+++ b/libs/director/src/flow_cache.cpp
@@ -3,12 +3,25 @@
 namespace guavaramp {
 namespace {
 
-void count_open(flow_cache& cache, steering_tag tag) { ++cache.open_by_tag[static_cast<std::uint32_t>(tag)]; }
+bool is_waiting(const flow_entry& entry) noexcept { return entry.unanswered_since != mono_time{}; }
 
-void count_closed(flow_cache& cache, steering_tag tag) {
-    const auto found = cache.open_by_tag.find(static_cast<std::uint32_t>(tag));
-    if (found != cache.open_by_tag.end() && --found->second == 0) {
-        cache.open_by_tag.erase(found);
+void add_work(flow_cache& cache, const flow_entry& entry) {
+    if (entry.closing) {
+        return;
+    }
+    auto& work = cache.work_by_tag[static_cast<std::uint32_t>(entry.tag)];
+    ++work.open;
+    work.waiting += is_waiting(entry) ? 1 : 0;
+}
+
+void remove_work(flow_cache& cache, const flow_entry& entry) {
+    const auto found = cache.work_by_tag.find(static_cast<std::uint32_t>(entry.tag));
+    if (entry.closing || found == cache.work_by_tag.end()) {
+        return;
+    }
+    found->second.waiting -= is_waiting(entry) ? 1 : 0;
+    if (--found->second.open == 0) {
+        cache.work_by_tag.erase(found);
     }
 }
 
@@ -25,25 +38,25 @@
         return nullptr;
     }
     auto* added = &cache.flows.emplace(flow, entry).first->second;
-    if (!entry.closing) {
-        count_open(cache, entry.tag);
-    }
+    add_work(cache, entry);
     return added;
 }
 
 void retag_flow(flow_cache& cache, flow_entry& entry, steering_tag tag) {
-    if (!entry.closing) {
-        count_closed(cache, entry.tag);
-        count_open(cache, tag);
-    }
+    remove_work(cache, entry);
     entry.tag = tag;
+    add_work(cache, entry);
+}
+
+void set_unanswered(flow_cache& cache, flow_entry& entry, mono_time since) {
+    remove_work(cache, entry);
+    entry.unanswered_since = since;
+    add_work(cache, entry);
 }
 
 void close_flow(flow_cache& cache, flow_entry& entry) {
-    if (!entry.closing) {
-        entry.closing = true;
-        count_closed(cache, entry.tag);
-    }
+    remove_work(cache, entry);
+    entry.closing = true;
 }
 
 void remove_flow(flow_cache& cache, const flow_tuple& flow) {
@@ -65,9 +78,9 @@
     }
 }
 
-std::uint32_t open_flows(const flow_cache& cache, steering_tag tag) noexcept {
-    const auto found = cache.open_by_tag.find(static_cast<std::uint32_t>(tag));
-    return found == cache.open_by_tag.end() ? 0 : found->second;
+upstream_work work_of(const flow_cache& cache, steering_tag tag) noexcept {
+    const auto found = cache.work_by_tag.find(static_cast<std::uint32_t>(tag));
+    return found == cache.work_by_tag.end() ? upstream_work{} : found->second;
 }
 
 }  // namespace guavaramp
--- a/libs/director/src/host_health.cpp
+++ b/libs/director/src/host_health.cpp
@@ -1,6 +1,12 @@
 #include <guavaramp/director/host_health.hpp>
 
 namespace guavaramp {
+namespace {
+
+/// Share of the newest sample in the moving average: about the last ten answers count.
+constexpr double newest_answer_share = 0.1;
+
+}  // namespace
 
 void note_progress(host_health& health, mono_time now) noexcept {
     health.last_progress = now;
@@ -8,6 +14,14 @@
     health.unreachable_until = mono_time{};
 }
 
+void note_answer(host_health& health, mono_time sent, mono_time now) noexcept {
+    const double sample_ms = std::chrono::duration<double, std::milli>(now - sent).count();
+    health.answer_time_ms = health.answer_time_ms == 0.0
+                                ? sample_ms
+                                : health.answer_time_ms + (sample_ms - health.answer_time_ms) * newest_answer_share;
+    note_progress(health, now);
+}
+
 bool note_silence(host_health& health, mono_time first_sent, mono_time now) noexcept {
     if (health.last_progress > first_sent) {
         return false;
--- a/libs/net/include/guavaramp/net/tcp_probe.hpp
+++ b/libs/net/include/guavaramp/net/tcp_probe.hpp
@@ -11,10 +11,10 @@
 
 namespace guavaramp {
 
-/// When a probe without an answer has failed. Fifty round trips between failure domains.
-inline constexpr auto probe_timeout = std::chrono::milliseconds{160};
+/// When a probe without an answer has failed. Twenty round trips between failure domains.
+inline constexpr auto probe_timeout = std::chrono::milliseconds{80};
 /// When a second connection attempt starts beside the first, so that one lost packet does not fail a probe.
-inline constexpr auto probe_second_attempt_after = std::chrono::milliseconds{60};
+inline constexpr auto probe_second_attempt_after = std::chrono::milliseconds{25};
 
 /// The result of a connection attempt.
 enum class connect_outcome : std::uint8_t { connected, refused, silent };
