--- /dev/null
+++ b/libs/director/tests/director_fixture.hpp
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <guavaramp/director/director.hpp>
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace guavaramp::director_fixture {
+
+using std::chrono::milliseconds;
+
+/// Times of the tests; the epoch itself means "never" in several fields.
+[[nodiscard]] inline mono_time at_ms(std::int64_t ms) {
+    return mono_time{} + std::chrono::seconds{1000} + milliseconds{ms};
+}
+
+inline constexpr std::uint32_t service_address = 0xc6120001;
+inline constexpr std::uint16_t workshop_port = 8443;
+
+struct upstream_options {
+    std::string id{"i-0001"};
+    std::uint64_t number{1};
+    std::string service{"workshop"};
+    std::string failure_domain{"centro"};
+    upstream_phase phase{upstream_phase::ready};
+    std::uint64_t revision{10};
+    std::uint64_t created_revision{0};
+};
+
+[[nodiscard]] inline upstream_report make_report(const upstream_options& options) {
+    return {.id = options.id,
+            .delivery_id = options.number,
+            .service = options.service,
+            .address = 0x0a800000U + static_cast<std::uint32_t>(options.number),
+            .port = 8080,
+            .failure_domain = options.failure_domain,
+            .slots = 2,
+            .phase = options.phase,
+            .revision = options.revision,
+            .created_revision = options.created_revision == 0 ? options.revision : options.created_revision};
+}
+
+/// Reports "i-1" to "i-COUNT" of one service in one failure domain.
+[[nodiscard]] inline std::vector<upstream_report> make_reports(std::uint64_t count) {
+    std::vector<upstream_report> reports;
+    for (std::uint64_t number = 1; number <= count; ++number) {
+        reports.push_back(make_report({.id = "i-" + std::to_string(number), .number = number}));
+    }
+    return reports;
+}
+
+[[nodiscard]] inline route_configuration make_configuration() {
+    return {.version = 7,
+            .routes = {{.name = "feed",
+                        .address = service_address,
+                        .port = workshop_port,
+                        .targets = {{.service = "workshop"}}}},
+            .idle_timeout_ms = 15000};
+}
+
+/// A view as a director has it some seconds after its start: store steady, configuration trusted.
+[[nodiscard]] inline fleet_view make_view(const upstream_directory& directory,
+                                          const route_configuration& configuration = make_configuration()) {
+    return {.own_failure_domain = "centro",
+            .routes = std::make_shared<const route_table>(make_route_table(configuration)),
+            .upstreams = std::make_shared<const upstream_index>(make_upstream_index(directory)),
+            .listing_as_of = at_ms(-5000),
+            .routes_trusted_until = at_ms(1'000'000),
+            .steady_since = at_ms(-60'000)};
+}
+
+[[nodiscard]] inline upstream_directory make_directory(const std::vector<upstream_report>& reports) {
+    upstream_directory directory;
+    (void)apply_listing(directory, {.revision = 100, .reports = reports}, at_ms(-5000), at_ms(-65'000));
+    return directory;
+}
+
+[[nodiscard]] inline flow_tuple make_flow(std::uint16_t caller_port = 40001) {
+    return {.caller_address = 0x64400007,
+            .service_address = service_address,
+            .caller_port = caller_port,
+            .service_port = workshop_port};
+}
+
+[[nodiscard]] inline flow_packet opening(const flow_tuple& flow, std::uint32_t copies = 0) {
+    return {.flow = flow, .sequence = 1000, .acknowledgement = copies, .opens = true};
+}
+
+[[nodiscard]] inline flow_packet acknowledging(const flow_tuple& flow, steering_tag tag,
+                                               std::uint32_t acknowledgement = 5001) {
+    return {.flow = flow,
+            .sequence = 1001,
+            .acknowledgement = acknowledgement,
+            .tag = tag,
+            .acknowledges = true};
+}
+
+[[nodiscard]] inline flow_packet request(const flow_tuple& flow, steering_tag tag,
+                                         std::uint32_t sequence = 1001,
+                                         std::uint32_t acknowledgement = 5001) {
+    return {.flow = flow,
+            .sequence = sequence,
+            .acknowledgement = acknowledgement,
+            .tag = tag,
+            .payload_bytes = 200,
+            .acknowledges = true};
+}
+
+/// Opens a flow and acknowledges its host's answer. Returns the flow's tag.
+inline steering_tag establish(director_state& state, const fleet_view& view, const flow_tuple& flow,
+                              mono_time now) {
+    const auto placed = decide(state, view, opening(flow), now);
+    REQUIRE(placed.outcome == verdict::forward);
+    const auto acknowledged = decide(state, view, acknowledging(flow, placed.tag), now + milliseconds{4});
+    REQUIRE(acknowledged.outcome == verdict::forward);
+    return placed.tag;
+}
+
+}  // namespace guavaramp::director_fixture
--- /dev/null
+++ b/libs/director/tests/director_test.cpp
@@ -0,0 +1,352 @@
+#include "director_fixture.hpp"
+
+#include <guavaramp/director/store_sync.hpp>
+
+#include <property.hpp>
+
+#include <algorithm>
+
+namespace guavaramp {
+namespace {
+
+using namespace director_fixture;
+
+const std::vector<std::byte> opening_bytes(34);
+
+/// Opens a flow whose host never answers, and lets the director wait for it.
+decision open_silently(director_state& state, const fleet_view& view, const flow_tuple& flow, mono_time now) {
+    const auto placed = decide(state, view, opening(flow), now);
+    REQUIRE(placed.outcome == verdict::forward);
+    remember_open(state, opening(flow), opening_bytes, now);
+    return placed;
+}
+
+TEST_CASE("DirectorTest.NothingIsForwardedBeforeTheFirstConfigurationAndListing") {
+    director_state state;
+    fleet_view view = make_view(make_directory(make_reports(1)));
+    auto without_routes = view;
+    without_routes.routes = nullptr;
+    CHECK(decide(state, without_routes, opening(make_flow()), at_ms(0)).reason ==
+          decision_reason::no_configuration);
+    view.upstreams = nullptr;
+    CHECK(decide(state, view, opening(make_flow()), at_ms(0)).reason == decision_reason::no_listing);
+    CHECK(decide(state, view, request(make_flow(), tag_of(1)), at_ms(0)).reason == decision_reason::no_listing);
+}
+
+TEST_CASE("DirectorTest.AnOpenFlowFollowsItsTagAtADirectorThatHasNeverSeenIt") {
+    director_state fresh;
+    const auto view = make_view(make_directory(make_reports(5)));
+    const auto decided = decide(fresh, view, request(make_flow(), tag_of(4)), at_ms(0));
+    CHECK(decided.outcome == verdict::forward);
+    CHECK(decided.reason == decision_reason::tagged_flow);
+    CHECK(decided.target->report.id == "i-4");
+    CHECK(decided.tag == tag_of(4));
+}
+
+// A property for the platform's rule that a packet of an open flow reaches only the flow's host.
+TEST_CASE("DirectorTest.APacketWithTheTagOfAReachableUpstreamIsForwardedToItWhateverCameBefore") {
+    check_property("tagged packets reach their host", [](const std::vector<std::uint16_t>& steps, std::uint8_t last) {
+        director_state state;
+        const auto view = make_view(make_directory(make_reports(4)));
+        std::int64_t now_ms = 0;
+        for (const auto step : steps) {
+            const auto flow = make_flow(static_cast<std::uint16_t>(100 + step % 5));
+            const auto tag = tag_of(1 + step / 5 % 4);
+            const auto packet = step % 3 == 0 ? opening(flow) : request(flow, tag, 1001 + step);
+            (void)decide(state, view, packet, at_ms(++now_ms));
+        }
+        const auto tag = tag_of(1 + last % 4U);
+        const auto decided = decide(state, view, request(make_flow(1), tag), at_ms(++now_ms));
+        RC_ASSERT(decided.outcome == verdict::forward);
+        RC_ASSERT(decided.tag == tag);
+    });
+}
+
+// A property for the platform's rule that work lands only at services which the route names.
+TEST_CASE("DirectorTest.AnOpeningPacketReachesOnlyReadyUpstreamsOfItsRoute") {
+    check_property("placement respects the route", [](const std::vector<std::uint8_t>& kinds, std::uint16_t port) {
+        std::vector<upstream_report> reports;
+        for (std::size_t index = 0; index < kinds.size(); ++index) {
+            reports.push_back(make_report({.id = "i-" + std::to_string(index),
+                                           .number = index + 1,
+                                           .service = kinds[index] % 2 == 0 ? "workshop" : "archive",
+                                           .phase = upstream_phase(kinds[index] / 2 % 3)}));
+        }
+        director_state state;
+        const auto view = make_view(make_directory(reports));
+        const auto decided = decide(state, view, opening(make_flow(port)), at_ms(0));
+        const bool any = std::any_of(reports.begin(), reports.end(), [](const auto& report) {
+            return report.service == "workshop" && report.phase == upstream_phase::ready;
+        });
+        RC_ASSERT((decided.outcome == verdict::forward) == any);
+        RC_ASSERT((!any || decided.target->report.service == "workshop"));
+        RC_ASSERT((!any || decided.target->report.phase == upstream_phase::ready));
+    });
+}
+
+TEST_CASE("DirectorTest.WithoutAReadyUpstreamAnOpeningPacketIsRefusedAtOnce") {
+    director_state state;
+    const auto view = make_view(make_directory({}));
+    const auto decided = decide(state, view, opening(make_flow()), at_ms(0));
+    CHECK(decided.outcome == verdict::reset);
+    CHECK(decided.reason == decision_reason::no_upstream);
+}
+
+TEST_CASE("DirectorTest.AMissingRouteIsRefusedOnlyWhileTheConfigurationIsTrusted") {
+    director_state state;
+    auto view = make_view(make_directory(make_reports(1)));
+    auto unknown = make_flow();
+    unknown.service_port = 9;
+    CHECK(decide(state, view, opening(unknown), at_ms(0)).outcome == verdict::reset);
+    view.routes_trusted_until = at_ms(0);
+    const auto decided = decide(state, view, opening(unknown), at_ms(0));
+    CHECK(decided.outcome == verdict::drop);
+    CHECK(decided.reason == decision_reason::no_route_unconfirmed);
+}
+
+TEST_CASE("DirectorTest.AFlowWhoseRouteWasRemovedIsReset") {
+    director_state state;
+    const auto directory = make_directory(make_reports(1));
+    const auto tag = establish(state, make_view(directory), make_flow(), at_ms(0));
+    const auto without = make_view(directory, {.version = 8, .routes = {}});
+    CHECK(decide(state, without, request(make_flow(), tag), at_ms(10)).reason == decision_reason::no_route);
+}
+
+// Guards against resets that answer resets for ever.
+TEST_CASE("DirectorTest.AResetIsNeverAnsweredWithAReset") {
+    director_state state;
+    const auto view = make_view(make_directory({}));
+    auto packet = request(make_flow(), tag_of(1));
+    packet.aborts = true;
+    packet.flow.service_port = 9;
+    CHECK(decide(state, view, packet, at_ms(0)).outcome == verdict::drop);
+}
+
+TEST_CASE("DirectorTest.ADrainingUpstreamKeepsItsFlows") {
+    director_state state;
+    const auto tag = establish(state, make_view(make_directory(make_reports(1))), make_flow(), at_ms(0));
+    auto draining = make_reports(1);
+    draining.front().phase = upstream_phase::draining;
+    const auto decided =
+        decide(state, make_view(make_directory(draining)), request(make_flow(), tag), at_ms(10));
+    CHECK(decided.outcome == verdict::forward);
+}
+
+// --- A flow with two candidates ---------------------------------------------------------------------------
+
+// Guards against a flow that changes hosts: both hosts have answered, and the caller sends back the tag of the
+// answer that came last.
+TEST_CASE("DirectorTest.AFlowStaysWithTheHostOfItsFirstAcknowledgementWhenASecondAnswerChangesTheTag") {
+    director_state state;
+    const auto view = make_view(make_directory(make_reports(2)));
+    const auto first = decide(state, view, opening(make_flow()), at_ms(0));
+    const auto second = decide(state, view, opening(make_flow(), 1), at_ms(200));
+    REQUIRE(second.reason == decision_reason::placed_elsewhere);
+    REQUIRE(second.tag != first.tag);
+    CHECK(decide(state, view, acknowledging(make_flow(), first.tag), at_ms(204)).tag == first.tag);
+    CHECK(decide(state, view, request(make_flow(), second.tag), at_ms(210)).tag == first.tag);
+}
+
+TEST_CASE("DirectorTest.ACopyOfAnOpeningPacketGoesToAnotherHostAndTheSilentOneIsProbed") {
+    director_state state;
+    const auto view = make_view(make_directory(make_reports(3)));
+    const auto first = decide(state, view, opening(make_flow()), at_ms(0));
+    const auto second = decide(state, view, opening(make_flow(), 1), at_ms(200));
+    CHECK(second.tag != first.tag);
+    REQUIRE(second.probe != nullptr);
+    CHECK(tag_of(second.probe->report.delivery_id) == first.tag);
+}
+
+TEST_CASE("DirectorTest.ANewFlowFromThePortOfAnOldOneIsPlacedAfresh") {
+    director_state state;
+    const auto view = make_view(make_directory(make_reports(3)));
+    (void)establish(state, view, make_flow(), at_ms(0));
+    auto reused = opening(make_flow());
+    reused.sequence = 77;
+    CHECK(decide(state, view, reused, at_ms(5000)).reason == decision_reason::placed);
+}
+
+// --- Opening packets without an answer --------------------------------------------------------------------
+
+TEST_CASE("DirectorTest.AnUnansweredOpeningPacketIsSentToOtherHostsBeforeTheCallersCopy") {
+    director_state state;
+    const auto view = make_view(make_directory(make_reports(5)));
+    const auto first = open_silently(state, view, make_flow(), at_ms(0));
+    CHECK(next_due(state, at_ms(1000)) == at_ms(40));
+    const auto due = collect_due(state, view, at_ms(40));
+    REQUIRE(due.reopened.size() == 1);
+    CHECK(due.reopened.front().tag != first.tag);
+    CHECK(due.reopened.front().packet == opening_bytes);
+    REQUIRE(due.probes.size() == 1);
+    CHECK(tag_of(due.probes.front()->report.delivery_id) == first.tag);
+    const auto again = collect_due(state, view, at_ms(80));
+    REQUIRE(again.reopened.size() == 1);
+    CHECK(again.reopened.front().tag != due.reopened.front().tag);
+    CHECK(collect_due(state, view, at_ms(120)).reopened.empty());
+}
+
+TEST_CASE("DirectorTest.AnAnsweredOpeningPacketIsNotSentAgain") {
+    director_state state;
+    const auto view = make_view(make_directory(make_reports(5)));
+    const auto placed = open_silently(state, view, make_flow(), at_ms(0));
+    (void)decide(state, view, acknowledging(make_flow(), placed.tag), at_ms(6));
+    CHECK(next_due(state, at_ms(1000)) == at_ms(1000));
+    CHECK(collect_due(state, view, at_ms(40)).reopened.empty());
+}
+
+TEST_CASE("DirectorTest.TheOnlyHostOfAServiceIsNotSentAnOpeningPacketTwice") {
+    director_state state;
+    const auto view = make_view(make_directory(make_reports(1)));
+    (void)open_silently(state, view, make_flow(), at_ms(0));
+    CHECK(collect_due(state, view, at_ms(40)).reopened.empty());
+}
+
+// Replays the load of a crash: callers open flows at a steady rate while two of five hosts are silent.
+// Guards against callers that wait for their own copy, sent after 200 ms, because of a host known to be silent.
+TEST_CASE("DirectorTest.AfterTheFirstUnansweredOpeningPacketsNewFlowsAvoidTheSilentHosts") {
+    director_state state;
+    const auto view = make_view(make_directory(make_reports(5)));
+    const auto is_silent = [](steering_tag tag) { return tag == tag_of(1) || tag == tag_of(2); };
+    int delayed = 0;
+    constexpr int flows = 200;
+    for (int number = 0; number < flows; ++number) {
+        const auto now = at_ms(number * 10);
+        (void)collect_due(state, view, now);
+        const auto flow = make_flow(static_cast<std::uint16_t>(1000 + number));
+        const auto placed = open_silently(state, view, flow, now);
+        if (is_silent(placed.tag)) {
+            ++delayed;
+        } else {
+            (void)decide(state, view, acknowledging(flow, placed.tag), now + milliseconds{4});
+        }
+    }
+    // The flows opened in the 40 ms before the first suspicion, twice for both hosts.
+    CHECK(delayed <= 8);
+}
+
+// --- Requests without an answer ---------------------------------------------------------------------------
+
+TEST_CASE("DirectorTest.ARequestWithoutAnAnswerFromItsHostCausesAProbe") {
+    director_state state;
+    const auto view = make_view(make_directory(make_reports(1)));
+    const auto tag = establish(state, view, make_flow(), at_ms(0));
+    (void)decide(state, view, request(make_flow(), tag), at_ms(100));
+    CHECK(next_due(state, at_ms(9999)) == at_ms(180));
+    const auto due = collect_due(state, view, at_ms(180));
+    REQUIRE(due.probes.size() == 1);
+    CHECK(due.probes.front()->report.id == "i-1");
+}
+
+TEST_CASE("DirectorTest.ASlowRequestIsNoSuspicionWhileItsHostAnswersOthers") {
+    director_state state;
+    const auto view = make_view(make_directory(make_reports(1)));
+    const auto tag = establish(state, view, make_flow(1), at_ms(0));
+    (void)establish(state, view, make_flow(2), at_ms(0));
+    (void)decide(state, view, request(make_flow(1), tag), at_ms(100));
+    (void)decide(state, view, request(make_flow(2), tag), at_ms(110));
+    (void)decide(state, view, acknowledging(make_flow(2), tag, 6000), at_ms(140));
+    CHECK(collect_due(state, view, at_ms(185)).probes.empty());
+}
+
+// Guards against probes caused by packets of one request that overtake each other.
+TEST_CASE("DirectorTest.DataThatWasOvertakenIsNoRepeat") {
+    director_state state;
+    const auto view = make_view(make_directory(make_reports(1)));
+    const auto tag = establish(state, view, make_flow(), at_ms(0));
+    CHECK(decide(state, view, request(make_flow(), tag, 1201), at_ms(100)).probe == nullptr);
+    CHECK(decide(state, view, request(make_flow(), tag, 1001), at_ms(100)).probe == nullptr);
+    CHECK(decide(state, view, request(make_flow(), tag, 1001), at_ms(300)).probe != nullptr);
+}
+
+TEST_CASE("DirectorTest.WhenAHostBecomesUnreachableAllItsFlowsAreGivenUpAndNoOthers") {
+    director_state state;
+    const auto view = make_view(make_directory(make_reports(2)));
+    std::size_t at_first_host = 0;
+    for (std::uint16_t port = 1; port <= 10; ++port) {
+        at_first_host += establish(state, view, make_flow(port), at_ms(port)) == tag_of(1) ? 1 : 0;
+    }
+    const auto taken = take_flows_of(state, tag_of(1));
+    CHECK(taken.size() == at_first_host);
+    CHECK(std::all_of(taken.begin(), taken.end(), [](const auto& reset) { return reset.sequence == 5001; }));
+    CHECK(state.flows.flows.size() == 10 - at_first_host);
+}
+
+TEST_CASE("DirectorTest.APacketForAnUnreachableHostIsResetAtOnce") {
+    director_state state;
+    const auto view = make_view(make_directory(make_reports(2)));
+    note_probe_ended(health_of(state, tag_of(1)), probe_outcome::refused, at_ms(0), at_ms(3));
+    const auto decided = decide(state, view, request(make_flow(), tag_of(1)), at_ms(10));
+    CHECK(decided.outcome == verdict::reset);
+    CHECK(decided.reason == decision_reason::upstream_unreachable);
+}
+
+// --- Upstreams that are not listed ------------------------------------------------------------------------
+
+// Guards against resets of living flows when entries lapse while the store is away.
+TEST_CASE("DirectorTest.AnUnlistedUpstreamKeepsItsFlowsUntilTheListHasSettled") {
+    director_state state;
+    auto directory = make_directory(make_reports(1));
+    (void)apply_listing(directory, {.revision = 101}, at_ms(0), at_ms(-60'000));
+    auto view = make_view(directory);
+    const auto settled = at_ms(0) + relisting_time;
+    CHECK(decide(state, view, request(make_flow(), tag_of(1)), settled - milliseconds{1}).outcome ==
+          verdict::forward);
+    const auto decided = decide(state, view, request(make_flow(), tag_of(1)), settled);
+    CHECK(decided.outcome == verdict::reset);
+    CHECK(decided.reason == decision_reason::upstream_gone);
+    view.steady_since = mono_time::max();
+    CHECK(decide(state, view, request(make_flow(2), tag_of(1)), settled).outcome == verdict::forward);
+    view.steady_since = settled;
+    CHECK(decide(state, view, request(make_flow(3), tag_of(1)), settled + milliseconds{1}).outcome ==
+          verdict::forward);
+}
+
+TEST_CASE("DirectorTest.AnUnlistedUpstreamThatStillAnswersKeepsItsFlows") {
+    director_state state;
+    auto directory = make_directory(make_reports(1));
+    (void)apply_listing(directory, {.revision = 101}, at_ms(0), at_ms(-60'000));
+    const auto view = make_view(directory);
+    note_progress(health_of(state, tag_of(1)), at_ms(2900));
+    CHECK(decide(state, view, request(make_flow(), tag_of(1)), at_ms(3000)).outcome == verdict::forward);
+}
+
+// Guards against resets of flows whose host was listed after this director's last reading.
+TEST_CASE("DirectorTest.AnUnknownTagIsResetOnlyAfterAWholeReadingThatBeganLater") {
+    director_state state;
+    auto view = make_view(make_directory(make_reports(1)));
+    const auto packet = request(make_flow(), tag_of(55));
+    CHECK(decide(state, view, packet, at_ms(0)).reason == decision_reason::unknown_tag_unconfirmed);
+    CHECK(decide(state, view, packet, at_ms(9000)).reason == decision_reason::unknown_tag_unconfirmed);
+    view.listing_as_of = at_ms(100);
+    CHECK(decide(state, view, packet, at_ms(1000)).reason == decision_reason::unknown_tag_unconfirmed);
+    CHECK(decide(state, view, packet, at_ms(9001)).reason == decision_reason::unknown_tag);
+}
+
+TEST_CASE("DirectorTest.APacketWithoutTagOrEntryIsDropped") {
+    director_state state;
+    const auto view = make_view(make_directory(make_reports(1)));
+    const auto decided = decide(state, view, request(make_flow(), no_tag), at_ms(0));
+    CHECK(decided.outcome == verdict::drop);
+    CHECK(decided.reason == decision_reason::untagged);
+}
+
+TEST_CASE("DirectorTest.IdleFlowsAreForgottenAfterTheConfiguredTimeAndStillRouted") {
+    director_state state;
+    const auto view = make_view(make_directory(make_reports(2)));
+    const auto tag = establish(state, view, make_flow(), at_ms(0));
+    forget_old(state, view, at_ms(16'000));
+    CHECK(state.flows.flows.empty());
+    CHECK(decide(state, view, request(make_flow(), tag), at_ms(16'001)).tag == tag);
+}
+
+TEST_CASE("DirectorTest.EveryReasonHasANameOfItsOwn") {
+    std::vector<std::string_view> names;
+    for (std::size_t index = 0; index < decision_reasons; ++index) {
+        names.push_back(to_string(decision_reason(index)));
+    }
+    std::sort(names.begin(), names.end());
+    CHECK(std::adjacent_find(names.begin(), names.end()) == names.end());
+}
+
+}  // namespace
+}  // namespace guavaramp
--- /dev/null
+++ b/libs/director/tests/host_health_test.cpp
@@ -0,0 +1,70 @@
+#include "director_fixture.hpp"
+
+#include <guavaramp/director/host_health.hpp>
+
+namespace guavaramp {
+namespace {
+
+using namespace director_fixture;
+
+TEST_CASE("HostHealthTest.SilenceStartsOneProbeAtATime") {
+    host_health health;
+    CHECK(note_silence(health, at_ms(0), at_ms(80)));
+    note_probe_started(health, at_ms(80));
+    CHECK_FALSE(note_silence(health, at_ms(10), at_ms(90)));
+}
+
+// Guards against probes of hosts that answer others and are only slow with one request.
+TEST_CASE("HostHealthTest.SilenceOfOneFlowIsNoSuspicionWhileOthersAreAnswered") {
+    host_health health;
+    note_progress(health, at_ms(50));
+    CHECK_FALSE(note_silence(health, at_ms(0), at_ms(80)));
+}
+
+TEST_CASE("HostHealthTest.ARefusedProbeMakesAHostUnreachableUntilOneSucceeds") {
+    host_health health;
+    note_probe_started(health, at_ms(0));
+    note_probe_ended(health, probe_outcome::refused, at_ms(0), at_ms(3));
+    CHECK(is_unreachable(health, at_ms(4)));
+    CHECK(is_avoided(health, at_ms(4)));
+    note_probe_started(health, at_ms(600));
+    note_probe_ended(health, probe_outcome::connected, at_ms(600), at_ms(603));
+    CHECK_FALSE(is_unreachable(health, at_ms(604)));
+    CHECK_FALSE(is_avoided(health, at_ms(604)));
+}
+
+// Guards against resets of flows on old evidence, after a pause of the process for instance.
+TEST_CASE("HostHealthTest.AFailedProbeCountsForALimitedTimeOnly") {
+    host_health health;
+    note_probe_ended(health, probe_outcome::silent, at_ms(0), at_ms(80));
+    CHECK(is_unreachable(health, at_ms(80) + unreachable_validity - milliseconds{1}));
+    CHECK_FALSE(is_unreachable(health, at_ms(80) + unreachable_validity));
+    CHECK(is_avoided(health, at_ms(80) + unreachable_validity));
+}
+
+TEST_CASE("HostHealthTest.AnAnswerDuringAProbeOutranksItsFailure") {
+    host_health health;
+    note_probe_started(health, at_ms(0));
+    note_progress(health, at_ms(40));
+    note_probe_ended(health, probe_outcome::silent, at_ms(0), at_ms(80));
+    CHECK_FALSE(is_unreachable(health, at_ms(81)));
+}
+
+TEST_CASE("HostHealthTest.AnUnreachableHostIsProbedAgainAfterThePeriod") {
+    host_health health;
+    note_probe_ended(health, probe_outcome::silent, at_ms(0), at_ms(80));
+    CHECK_FALSE(is_probe_due(health, at_ms(81)));
+    CHECK(is_probe_due(health, at_ms(80) + probe_period_unreachable));
+}
+
+TEST_CASE("HostHealthTest.AnswerTimesAreAveraged") {
+    host_health health;
+    note_answer(health, at_ms(0), at_ms(20));
+    CHECK(health.answer_time_ms == doctest::Approx(20));
+    note_answer(health, at_ms(100), at_ms(140));
+    CHECK(health.answer_time_ms > 20);
+    CHECK(health.answer_time_ms < 40);
+}
+
+}  // namespace
+}  // namespace guavaramp
--- /dev/null
+++ b/libs/director/tests/routes_test.cpp
@@ -0,0 +1,65 @@
+#include <guavaramp/director/routes.hpp>
+
+#include <property.hpp>
+
+#include <map>
+
+namespace guavaramp {
+namespace {
+
+route make_split_route(std::uint32_t first_weight, std::uint32_t second_weight) {
+    return {.name = "feed",
+            .address = 0xc6120001,
+            .port = 8443,
+            .targets = {{.service = "workshop", .weight = first_weight},
+                        {.service = "archive", .weight = second_weight}}};
+}
+
+// Guards against traffic that reaches a service which the operator has taken out of a split.
+TEST_CASE("RoutesTest.AServiceWithWeightZeroIsNeverTried") {
+    check_property("weight 0 is left out", [](std::uint64_t hash) {
+        const auto split = make_split_route(0, 5);
+        const auto order = services_in_order(split, hash);
+        RC_ASSERT(order.size() == 1U);
+        RC_ASSERT(*order.front() == "archive");
+    });
+}
+
+TEST_CASE("RoutesTest.ARouteWhoseWeightsAreAllZeroHasNoService") {
+    CHECK(services_in_order(make_split_route(0, 0), 42).empty());
+}
+
+TEST_CASE("RoutesTest.FlowsAreSharedByWeight") {
+    const auto split = make_split_route(90, 10);
+    std::map<std::string, int> drawn;
+    constexpr int flows = 10'000;
+    for (std::uint32_t number = 0; number < flows; ++number) {
+        const flow_tuple flow{.caller_address = number, .service_address = 1, .caller_port = 9, .service_port = 2};
+        ++drawn[*services_in_order(split, hash_of(flow)).front()];
+    }
+    CHECK(drawn["archive"] > flows * 8 / 100);
+    CHECK(drawn["archive"] < flows * 12 / 100);
+}
+
+// Guards against copies of an opening packet that open flows at two services.
+TEST_CASE("RoutesTest.CopiesOfAnOpeningPacketDrawTheSameService") {
+    check_property("same hash, same order", [](std::uint64_t hash) {
+        const auto split = make_split_route(3, 4);
+        RC_ASSERT(*services_in_order(split, hash).front() == *services_in_order(split, hash).front());
+    });
+}
+
+TEST_CASE("RoutesTest.ARouteIsFoundByAddressAndPort") {
+    const auto table = make_route_table({.version = 3, .routes = {make_split_route(1, 1)}});
+    const flow_tuple matching{.caller_address = 1, .service_address = 0xc6120001, .caller_port = 2, .service_port = 8443};
+    auto other_port = matching;
+    other_port.service_port = 8080;
+    auto other_address = matching;
+    other_address.service_address = 0xc6120002;
+    CHECK(find_route(table, matching) != nullptr);
+    CHECK(find_route(table, other_port) == nullptr);
+    CHECK(find_route(table, other_address) == nullptr);
+}
+
+}  // namespace
+}  // namespace guavaramp
--- /dev/null
+++ b/libs/director/tests/upstreams_test.cpp
@@ -0,0 +1,154 @@
+#include "director_fixture.hpp"
+
+#include <guavaramp/director/upstreams.hpp>
+
+#include <property.hpp>
+
+namespace guavaramp {
+namespace {
+
+using namespace director_fixture;
+
+const auto keep_all = at_ms(-100'000);
+
+std::vector<upstream_change> list(upstream_directory& directory, std::uint64_t revision,
+                                  std::vector<upstream_report> reports, std::int64_t now_ms = 0) {
+    return apply_listing(directory, {.revision = revision, .reports = std::move(reports)}, at_ms(now_ms), keep_all);
+}
+
+TEST_CASE("UpstreamsTest.AnIdOfUpTo32BitsIsItsOwnTag") {
+    CHECK(tag_of(0x7f3a91c2) == steering_tag{0x7f3a91c2});
+    CHECK(tag_of(0xf4a6d7928d) != no_tag);
+    CHECK(tag_of(0) != no_tag);
+}
+
+// Guards against a reading that is older than what is known and would undo a drain.
+TEST_CASE("UpstreamsTest.AnOlderListingChangesNothing") {
+    upstream_directory directory;
+    (void)list(directory, 20, {make_report({.phase = upstream_phase::draining, .revision = 20})});
+    CHECK(list(directory, 19, {make_report({.revision = 10})}).empty());
+    CHECK(directory.by_id.at("i-0001").report.phase == upstream_phase::draining);
+}
+
+TEST_CASE("UpstreamsTest.AnOlderEntryInANewerListingChangesNothing") {
+    upstream_directory directory;
+    (void)list(directory, 20, {make_report({.phase = upstream_phase::draining, .revision = 20})});
+    CHECK(list(directory, 21, {make_report({.revision = 10})}).empty());
+    CHECK(directory.by_id.at("i-0001").report.phase == upstream_phase::draining);
+}
+
+TEST_CASE("UpstreamsTest.AnUpstreamThatIsMissingStaysKnownAndTakesNoNewFlows") {
+    upstream_directory directory;
+    (void)list(directory, 20, {make_report({})});
+    const auto changes = list(directory, 21, {}, 500);
+    REQUIRE(changes.size() == 1);
+    CHECK(changes.front().kind == upstream_change_kind::unlisted);
+    const auto index = make_upstream_index(directory);
+    CHECK(find_by_tag(index, tag_of(1)) != nullptr);
+    CHECK_FALSE(index.ready_by_service.contains("workshop"));
+    CHECK(directory.by_id.at("i-0001").unlisted_at == at_ms(500));
+}
+
+TEST_CASE("UpstreamsTest.AnUpstreamThatReturnsIsListedAgain") {
+    upstream_directory directory;
+    (void)list(directory, 20, {make_report({})});
+    (void)list(directory, 21, {});
+    const auto changes = list(directory, 22, {make_report({.revision = 22})});
+    REQUIRE(changes.size() == 1);
+    CHECK(changes.front().kind == upstream_change_kind::returned);
+    CHECK(directory.by_id.at("i-0001").listed);
+}
+
+TEST_CASE("UpstreamsTest.AHostThatStartsAgainUnderItsIdIsReportedAsRestarted") {
+    upstream_directory directory;
+    auto report = make_report({});
+    report.started_unix_ms = 1000;
+    (void)list(directory, 20, {report});
+    report.started_unix_ms = 2000;
+    report.revision = 21;
+    const auto changes = list(directory, 21, {report});
+    REQUIRE(changes.size() == 1);
+    CHECK(changes.front().kind == upstream_change_kind::restarted);
+}
+
+// Guards against open flows that are lost because another writer has spoilt their host's entry.
+TEST_CASE("UpstreamsTest.AnUnreadableEntryKeepsTheAddressAndTakesNoNewFlows") {
+    upstream_directory directory;
+    const auto good = make_report({});
+    (void)list(directory, 20, {good});
+    (void)list(directory, 21,
+               {{.id = good.id, .delivery_id = 1, .phase = upstream_phase::unusable, .revision = 21}});
+    const auto index = make_upstream_index(directory);
+    const auto* known = find_by_tag(index, tag_of(1));
+    REQUIRE(known != nullptr);
+    CHECK(known->report.address == good.address);
+    CHECK(known->listed);
+    CHECK(index.ready_by_service.empty());
+}
+
+TEST_CASE("UpstreamsTest.ADrainingUpstreamKeepsItsTagAndTakesNoNewFlows") {
+    const auto index =
+        make_upstream_index(make_directory({make_report({.phase = upstream_phase::draining})}));
+    CHECK(find_by_tag(index, tag_of(1)) != nullptr);
+    CHECK(index.ready_by_service.empty());
+}
+
+// Guards against flows that follow a tag to the wrong one of two hosts.
+TEST_CASE("UpstreamsTest.OfTwoUpstreamsWithOneTagTheFirstCreatedOwnsItAndTheOtherTakesNoFlows") {
+    // 0x100000000 is hashed; the second id is made equal to that tag.
+    const std::uint64_t long_id = 0x1'0000'0000;
+    const auto short_id = static_cast<std::uint64_t>(static_cast<std::uint32_t>(tag_of(long_id)));
+    const auto first = make_report({.id = "i-b", .number = long_id, .revision = 5});
+    const auto second = make_report({.id = "i-a", .number = short_id, .revision = 6});
+    const auto index = make_upstream_index(make_directory({second, first}));
+    REQUIRE(find_by_tag(index, tag_of(long_id)) != nullptr);
+    CHECK(find_by_tag(index, tag_of(long_id))->report.id == "i-b");
+    CHECK(index.ready_by_service.at("workshop").size() == 1);
+}
+
+TEST_CASE("UpstreamsTest.AnUnlistedUpstreamIsForgottenAfterItsTime") {
+    upstream_directory directory;
+    (void)list(directory, 20, {make_report({})});
+    (void)list(directory, 21, {}, 0);
+    const auto changes = apply_listing(directory, {.revision = 22}, at_ms(61'000), at_ms(1000));
+    REQUIRE(changes.size() == 1);
+    CHECK(changes.front().kind == upstream_change_kind::forgotten);
+    CHECK(directory.by_id.empty());
+}
+
+// Guards against a removal that arrives after the host's next entry and would unlist a living host.
+TEST_CASE("UpstreamsTest.ARemovalOlderThanTheEntryChangesNothing") {
+    upstream_directory directory;
+    (void)list(directory, 30, {make_report({.revision = 30})});
+    CHECK(apply_news(directory, {.revision = 31, .removed = {{.id = "i-0001", .revision = 29}}}, at_ms(0),
+                     keep_all)
+              .empty());
+    CHECK(directory.by_id.at("i-0001").listed);
+}
+
+TEST_CASE("UpstreamsTest.NewsLeaveUpstreamsAloneThatTheyDoNotName") {
+    upstream_directory directory;
+    (void)list(directory, 30, make_reports(3));
+    (void)apply_news(directory, {.revision = 31, .removed = {{.id = "i-2", .revision = 31}}}, at_ms(0), keep_all);
+    CHECK(directory.by_id.at("i-1").listed);
+    CHECK_FALSE(directory.by_id.at("i-2").listed);
+    CHECK(directory.by_id.at("i-3").listed);
+}
+
+// Whatever order readings arrive in, the entry with the highest revision holds.
+TEST_CASE("UpstreamsTest.ReadingsInAnyOrderEndWithTheNewestEntry") {
+    check_property("newest revision wins", [](const std::vector<std::uint8_t>& revisions) {
+        upstream_directory directory;
+        std::uint64_t newest = 0;
+        for (const auto revision : revisions) {
+            const std::uint64_t at = revision + 1U;
+            (void)apply_news(directory, {.revision = at, .reports = {make_report({.revision = at})}}, at_ms(0),
+                             keep_all);
+            newest = std::max(newest, at);
+        }
+        RC_ASSERT((revisions.empty() || directory.by_id.at("i-0001").report.revision == newest));
+    });
+}
+
+}  // namespace
+}  // namespace guavaramp
