--- a/libs/director/include/guavaramp/director/store_sync.hpp
+++ b/libs/director/include/guavaramp/director/store_sync.hpp
@@ -21,8 +21,9 @@
 inline constexpr auto watch_wait = std::chrono::milliseconds{20000};
 /// Least time between two watches of the configuration: bounds the calls that a series of changes causes.
 inline constexpr auto least_configuration_period = std::chrono::milliseconds{200};
-/// The same for the listing. A drain must be in force 3 s after it is accepted.
-inline constexpr auto least_listing_period = std::chrono::milliseconds{600};
+/// The same for the listing. Half of the 3 s in which a drain must be in force; the other half is for a reading
+/// that fails.
+inline constexpr auto least_listing_period = std::chrono::milliseconds{1500};
 /// First wait after a reading that failed; doubles up to `longest_retry_wait`.
 inline constexpr auto retry_wait = std::chrono::milliseconds{100};
 inline constexpr auto longest_retry_wait = std::chrono::milliseconds{500};
--- /dev/null
+++ b/libs/net/tests/http_session_test.cpp
@@ -0,0 +1,147 @@
+#include <guavaramp/net/attached_http_server.hpp>
+#include <guavaramp/net/http_session.hpp>
+
+#include <asio.hpp>
+#include <doctest/doctest.h>
+
+#include <optional>
+
+namespace guavaramp {
+namespace {
+
+using asio::ip::tcp;
+
+mono_time after_ms(int ms) { return std::chrono::steady_clock::now() + std::chrono::milliseconds{ms}; }
+
+/// A server that answers each connection with fixed bytes, whatever is asked.
+struct scripted_server {
+    asio::io_context& context;
+    tcp::acceptor acceptor;
+    std::vector<std::string> answers;
+    std::vector<std::shared_ptr<tcp::socket>> sockets;
+    std::size_t connections{0};
+
+    scripted_server(asio::io_context& io, std::vector<std::string> scripted)
+        : context(io),
+          acceptor(io, tcp::endpoint{asio::ip::address_v4::loopback(), 0}),
+          answers(std::move(scripted)) {
+        accept();
+    }
+
+    void accept() {
+        auto socket = std::make_shared<tcp::socket>(context);
+        acceptor.async_accept(*socket, [this, socket](const std::error_code& failure) {
+            if (failure) {
+                return;
+            }
+            sockets.push_back(socket);
+            answer(socket, answers.at(std::min(connections++, answers.size() - 1)));
+            accept();
+        });
+    }
+
+    static void answer(const std::shared_ptr<tcp::socket>& socket, const std::string& text) {
+        auto buffer = std::make_shared<std::string>(4096, '\0');
+        socket->async_read_some(asio::buffer(*buffer), [socket, buffer, text](const std::error_code& failure, std::size_t) {
+            if (failure || text.empty()) {
+                return;
+            }
+            asio::write(*socket, asio::buffer(text));
+            answer(socket, text);
+        });
+    }
+
+    [[nodiscard]] endpoint local() const {
+        return {.address = from_ipv4(INADDR_LOOPBACK), .port = acceptor.local_endpoint().port()};
+    }
+};
+
+std::string ok_answer(const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+result<http_response> run_get(asio::io_context& io, http_session& session, int deadline_ms = 2000) {
+    std::optional<result<http_response>> outcome;
+    session.get("/x", after_ms(deadline_ms), [&outcome](result<http_response> ended) { outcome = std::move(ended); });
+    while (!outcome) {
+        io.run_one();
+    }
+    return *outcome;
+}
+
+TEST_CASE("HttpSessionTest.CallsReuseTheConnection") {
+    asio::io_context io;
+    scripted_server server{io, {ok_answer("one")}};
+    http_session session{io, server.local()};
+    CHECK(run_get(io, session)->body == "one");
+    CHECK(run_get(io, session)->body == "one");
+    CHECK(server.connections == 1);
+}
+
+TEST_CASE("HttpSessionTest.AStatusIsAnAnswerAndNoError") {
+    asio::io_context io;
+    scripted_server server{io, {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"}};
+    http_session session{io, server.local()};
+    CHECK(run_get(io, session)->status == 503);
+}
+
+// Guards against a late answer that is taken for that of the next call.
+TEST_CASE("HttpSessionTest.AfterADeadlineTheNextCallUsesANewConnection") {
+    asio::io_context io;
+    scripted_server server{io, {"", ok_answer("two")}};
+    http_session session{io, server.local()};
+    const auto late = run_get(io, session, 50);
+    REQUIRE_FALSE(late.has_value());
+    CHECK(late.error().kind == error_kind::deadline_exceeded);
+    CHECK(run_get(io, session)->body == "two");
+    CHECK(server.connections == 2);
+}
+
+TEST_CASE("HttpSessionTest.ACancelledCallDoesNotEndAndTheSessionIsFree") {
+    asio::io_context io;
+    scripted_server server{io, {"", ok_answer("two")}};
+    http_session session{io, server.local()};
+    bool ended = false;
+    session.get("/x", after_ms(2000), [&ended](const result<http_response>&) { ended = true; });
+    session.cancel();
+    CHECK_FALSE(session.is_busy());
+    CHECK(run_get(io, session).has_value());
+    CHECK_FALSE(ended);
+}
+
+TEST_CASE("HttpSessionTest.BytesThatAreNoHttpAreMalformed") {
+    asio::io_context io;
+    scripted_server server{io, {"SSH-2.0-x\r\n"}};
+    http_session session{io, server.local()};
+    CHECK(run_get(io, session).error().kind == error_kind::malformed);
+}
+
+TEST_CASE("HttpSessionTest.ATruncatedAnswerIsAnError") {
+    asio::io_context io;
+    tcp::acceptor acceptor{io, tcp::endpoint{asio::ip::address_v4::loopback(), 0}};
+    tcp::socket accepted{io};
+    acceptor.async_accept(accepted, [&accepted](const std::error_code&) {
+        asio::write(accepted, asio::buffer(std::string{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"}));
+        accepted.shutdown(tcp::socket::shutdown_send);
+    });
+    http_session session{
+        io, {.address = from_ipv4(INADDR_LOOPBACK), .port = acceptor.local_endpoint().port()}};
+    CHECK(run_get(io, session).error().kind == error_kind::unavailable);
+}
+
+TEST_CASE("HttpSessionTest.AnAttachedServerAnswersOnTheSameContext") {
+    asio::io_context io;
+    // Port 0 is not reported back by the server, so a port is chosen by a socket that is closed again.
+    tcp::acceptor chooser{io, tcp::endpoint{asio::ip::address_v4::loopback(), 0}};
+    const endpoint local{.address = from_ipv4(INADDR_LOOPBACK), .port = chooser.local_endpoint().port()};
+    chooser.close();
+    auto server = attach_http_server(io, {.local = local}, [](const http_request& request, const http_responder& respond) {
+        respond({.body = request.path});
+    });
+    REQUIRE(server.has_value());
+    http_session session{io, local};
+    CHECK(run_get(io, session)->body == "/x");
+}
+
+}  // namespace
+}  // namespace guavaramp
