Detect hosts that accept connections and answer no request

Change: three overdue requests in a row at one host, over at least 900 ms and without an answer to any flow, count as a stall: its flows are reset and new flows avoid it for 3 s, doubled each time up to 24 s. Test kept: TwoRequestsWhoseFlowsMoved- ToAnotherDirectorDoNotMakeAHostStalled.

--- a/apps/director/packet_duty.cpp
+++ b/apps/director/packet_duty.cpp
@@ -154,17 +154,20 @@
         for (const auto* suspect : due.probes) {
             start_probe(*suspect, time);
         }
+        for (const auto stalled : due.stalled) {
+            reset_flows_of(stalled, decision_reason::upstream_stalled, time);
+        }
         socket_.flush();
     }
 
-    /// Tells the callers of an upstream that has just become unreachable.
-    void reset_flows_of(steering_tag tag, mono_time time) {
+    /// Tells the callers of an upstream that can no longer serve them.
+    void reset_flows_of(steering_tag tag, decision_reason reason, mono_time time) {
         for (const auto& reset : take_flows_of(state_, tag)) {
             send_reset(reset);
-            decided_.at(static_cast<std::size_t>(decision_reason::upstream_unreachable))->add();
+            decided_.at(static_cast<std::size_t>(reason))->add();
             log_decision({.flow = reset.flow,
                           .outcome = verdict::reset,
-                          .reason = decision_reason::upstream_unreachable,
+                          .reason = reason,
                           .tag = static_cast<std::uint32_t>(tag)},
                          time);
         }
@@ -192,7 +195,7 @@
                 records_lost_.add();
             }
             if (health.unreachable && !was_unreachable) {
-                reset_flows_of(steering_tag{finished.key}, time);
+                reset_flows_of(steering_tag{finished.key}, decision_reason::upstream_unreachable, time);
             }
         }
     }
--- a/libs/director/include/guavaramp/director/director.hpp
+++ b/libs/director/include/guavaramp/director/director.hpp
@@ -49,10 +49,11 @@
     unknown_tag,           ///< the tag names no upstream that was ever listed
     unknown_tag_unconfirmed,
     upstream_gone,         ///< the upstream left the list for good
-    upstream_unreachable   ///< a probe has just failed
+    upstream_unreachable,  ///< a probe has just failed
+    upstream_stalled       ///< it accepts connections and has answered no request for a long time
 };
 
-inline constexpr std::size_t decision_reasons = 15;
+inline constexpr std::size_t decision_reasons = 16;
 
 /// Text forms for counters and log lines. Thread-safe.
 [[nodiscard]] std::string_view to_string(verdict value) noexcept;
@@ -92,6 +93,7 @@
     std::unordered_map<std::uint32_t, mono_time> unexplained_tags;
     std::deque<pending_open> opens;      ///< by `due_at`
     std::deque<pending_answer> answers;  ///< by `due_at`
+    std::deque<pending_answer> stalls;   ///< requests whose host was suspected before; by `due_at`
 };
 
 /// Decides what happens to a caller's packet, and learns from it. Precondition: `now` does not go back. Not
@@ -119,6 +121,7 @@
 struct due_work {
     std::vector<reopened_flow> reopened;
     std::vector<const known_upstream*> probes;
+    std::vector<steering_tag> stalled;  ///< upstreams that accept connections and answer no request
 };
 
 /// Finds opening packets and requests that have waited longer than a living host takes. Not thread-safe.
@@ -130,7 +133,7 @@
     std::uint32_t sequence{0};
 };
 
-/// Takes the flows of an upstream out of the cache. To be called when it has become unreachable: its callers
+/// Takes the flows of an upstream out of the cache. To be called when it has become unreachable or has stalled: its callers
 /// then learn it before they send their next request, which could not be repeated. Not thread-safe.
 [[nodiscard]] std::vector<flow_reset> take_flows_of(director_state& state, steering_tag tag);
 
--- a/libs/director/include/guavaramp/director/host_health.hpp
+++ b/libs/director/include/guavaramp/director/host_health.hpp
@@ -20,6 +20,15 @@
 /// limit, which a probe does not show. Fifteen times the callers' first repeat.
 inline constexpr auto avoid_after_silence = std::chrono::milliseconds{3000};
 
+/// Overdue requests in a row that show a host to be stalled: it accepts connections and answers nobody. One or
+/// two can be requests whose later packets go through another director, so that their answers are not seen.
+inline constexpr std::uint32_t overdue_requests_of_stalled = 3;
+/// Least time from the first of them to the verdict: above the longest answer of a slow and cold host behind a
+/// full queue, about 700 ms.
+inline constexpr auto least_stall_time = std::chrono::milliseconds{900};
+/// Longest time for which new flows avoid a host that has stalled repeatedly.
+inline constexpr auto longest_avoidance = std::chrono::milliseconds{24000};
+
 /// Result of a TCP connection attempt.
 enum class probe_outcome : std::uint8_t {
     connected,  ///< the host listens
@@ -34,6 +43,9 @@
     mono_time unreachable_until{};  ///< deadline of the belief that the host cannot be reached
     mono_time avoid_until{};        ///< deadline until which new flows prefer other hosts
     mono_time next_probe_at{};
+    mono_time first_overdue_sent{};   ///< when the first of the overdue requests was sent
+    std::uint32_t overdue_requests{0};  ///< in a row, without an answer to any flow
+    std::uint32_t stalls{0};            ///< in a row
     double answer_time_ms{0};       ///< moving average of request to first answer; 0: none yet
     bool probing{false};
     bool unreachable{false};  ///< the last probe failed; probed again until one succeeds
@@ -51,6 +63,10 @@
 /// Not thread-safe.
 [[nodiscard]] bool note_silence(host_health& health, mono_time first_sent, mono_time now) noexcept;
 
+/// A request sent at `sent` is overdue. Returns whether the host counts as stalled from now on; new flows then
+/// avoid it, the longer the more often. Not thread-safe.
+[[nodiscard]] bool note_overdue(host_health& health, mono_time sent, mono_time now) noexcept;
+
 /// Whether a probe is due without a new suspicion, because the last one failed. Not thread-safe.
 [[nodiscard]] bool is_probe_due(const host_health& health, mono_time now) noexcept;
 
--- a/libs/director/src/director.cpp
+++ b/libs/director/src/director.cpp
@@ -21,6 +21,9 @@
 /// A request that has waited this long makes a host suspect if none of its flows has had an answer meanwhile.
 /// Four times the usual work of a request.
 constexpr auto request_answer_time = std::chrono::milliseconds{80};
+/// A request that has waited this long, with no answer from its host to any flow meanwhile, is overdue. Above
+/// what the longest request takes.
+constexpr auto overdue_after = std::chrono::milliseconds{400};
 /// Opening packets and requests that are waited for; beyond this only the callers' repeats are evidence.
 constexpr std::size_t max_pending = 8192;
 /// Idle time after which a flow is forgotten when the configuration says nothing.
@@ -34,7 +37,7 @@
     "placed", "placed_again", "placed_elsewhere", "known_flow", "tagged_flow",
     "no_configuration", "no_route",    "no_route_unconfirmed", "no_listing",
     "no_upstream", "untagged",         "unknown_tag",          "unknown_tag_unconfirmed",
-    "upstream_gone",    "upstream_unreachable"};
+    "upstream_gone",    "upstream_unreachable", "upstream_stalled"};
 
 decision drop(decision_reason reason) { return {.outcome = verdict::drop, .reason = reason}; }
 
@@ -329,14 +332,18 @@
     while (!state.opens.empty() && unopened_entry(state, state.opens.front()) == nullptr) {
         state.opens.pop_front();
     }
-    while (!state.answers.empty() && waiting_entry(state, state.answers.front()) == nullptr) {
-        state.answers.pop_front();
+    for (auto* waiting : {&state.answers, &state.stalls}) {
+        while (!waiting->empty() && waiting_entry(state, waiting->front()) == nullptr) {
+            waiting->pop_front();
+        }
     }
     if (!state.opens.empty()) {
         otherwise = std::min(otherwise, state.opens.front().due_at);
     }
-    if (!state.answers.empty()) {
-        otherwise = std::min(otherwise, state.answers.front().due_at);
+    for (const auto* waiting : {&state.answers, &state.stalls}) {
+        if (!waiting->empty()) {
+            otherwise = std::min(otherwise, waiting->front().due_at);
+        }
     }
     return otherwise;
 }
@@ -352,9 +359,25 @@
         const auto pending = state.answers.front();
         state.answers.pop_front();
         const auto* entry = waiting_entry(state, pending);
-        if (entry != nullptr && note_silence(health_of(state, entry->tag), pending.sent_at, now)) {
+        if (entry == nullptr) {
+            continue;
+        }
+        if (note_silence(health_of(state, entry->tag), pending.sent_at, now)) {
             add_probe(view, entry->tag, due);
         }
+        if (state.stalls.size() < max_pending) {
+            state.stalls.push_back({.flow = pending.flow,
+                                    .sent_at = pending.sent_at,
+                                    .due_at = pending.sent_at + overdue_after});
+        }
+    }
+    while (!state.stalls.empty() && state.stalls.front().due_at <= now) {
+        const auto pending = state.stalls.front();
+        state.stalls.pop_front();
+        const auto* entry = waiting_entry(state, pending);
+        if (entry != nullptr && note_overdue(health_of(state, entry->tag), pending.sent_at, now)) {
+            due.stalled.push_back(entry->tag);
+        }
     }
     return due;
 }
--- a/libs/director/src/host_health.cpp
+++ b/libs/director/src/host_health.cpp
@@ -1,17 +1,23 @@
 #include <guavaramp/director/host_health.hpp>
 
+#include <algorithm>
+
 namespace guavaramp {
 namespace {
 
 /// Share of the newest sample in the moving average: about the last ten answers count.
 constexpr double newest_answer_share = 0.1;
 
+/// Doublings of the avoidance that stay below its limit.
+constexpr std::uint32_t most_doublings = 3;
+
 }  // namespace
 
 void note_progress(host_health& health, mono_time now) noexcept {
     health.last_progress = now;
     health.unreachable = false;
     health.unreachable_until = mono_time{};
+    health.overdue_requests = 0;
 }
 
 void note_answer(host_health& health, mono_time sent, mono_time now) noexcept {
@@ -19,6 +25,7 @@
     health.answer_time_ms = health.answer_time_ms == 0.0
                                 ? sample_ms
                                 : health.answer_time_ms + (sample_ms - health.answer_time_ms) * newest_answer_share;
+    health.stalls = 0;
     note_progress(health, now);
 }
 
@@ -30,6 +37,27 @@
     return !health.probing && now >= health.next_probe_at;
 }
 
+bool note_overdue(host_health& health, mono_time sent, mono_time now) noexcept {
+    if (health.last_progress > sent) {
+        return false;
+    }
+    if (health.overdue_requests == 0) {
+        health.first_overdue_sent = sent;
+    }
+    ++health.overdue_requests;
+    const bool stalled = health.overdue_requests >= overdue_requests_of_stalled &&
+                         now - health.first_overdue_sent >= least_stall_time;
+    if (!stalled) {
+        return false;
+    }
+    health.overdue_requests = 0;
+    const auto avoidance = std::min<mono_time::duration>(
+        avoid_after_silence * (1U << std::min(health.stalls, most_doublings)), longest_avoidance);
+    ++health.stalls;
+    health.avoid_until = now + avoidance;
+    return true;
+}
+
 bool is_probe_due(const host_health& health, mono_time now) noexcept {
     return health.unreachable && !health.probing && now >= health.next_probe_at;
 }
--- a/libs/director/tests/director_test.cpp
+++ b/libs/director/tests/director_test.cpp
@@ -258,6 +258,59 @@
     CHECK(decide(state, view, request(make_flow(), tag, 1001), at_ms(300)).probe != nullptr);
 }
 
+// Guards against callers that wait until their time limit for a host that accepts connections and hangs.
+TEST_CASE("DirectorTest.AHostThatAnswersNoneOfThreeRequestsCountsAsStalledAndIsAvoided") {
+    director_state state;
+    const auto view = make_view(make_directory(make_reports(1)));
+    for (std::uint16_t port = 1; port <= 3; ++port) {
+        (void)establish(state, view, make_flow(port), at_ms(0));
+    }
+    std::vector<std::int64_t> stalled_at_ms;
+    for (std::int64_t now_ms = 100; now_ms <= 1400; now_ms += 10) {
+        if (now_ms == 100 || now_ms == 300 || now_ms == 600) {
+            const auto flow = make_flow(static_cast<std::uint16_t>(now_ms == 100 ? 1 : now_ms / 300 + 1));
+            (void)decide(state, view, request(flow, tag_of(1)), at_ms(now_ms));
+        }
+        if (!collect_due(state, view, at_ms(now_ms)).stalled.empty()) {
+            stalled_at_ms.push_back(now_ms);
+        }
+    }
+    CHECK(stalled_at_ms == std::vector<std::int64_t>{1000});
+    CHECK(is_avoided(health_of(state, tag_of(1)), at_ms(1001)));
+}
+
+// Guards against resets of living flows. A request whose answer is acknowledged through another director looks
+// unanswered here; the first version of the stall detector reset such flows while directors were restarted
+// (raochan-dn, quiet-1 --vary --seed 310590955328).
+TEST_CASE("DirectorTest.TwoRequestsWhoseFlowsMovedToAnotherDirectorDoNotMakeAHostStalled") {
+    director_state state;
+    const auto view = make_view(make_directory(make_reports(1)));
+    const auto tag = establish(state, view, make_flow(1), at_ms(0));
+    (void)establish(state, view, make_flow(2), at_ms(0));
+    (void)decide(state, view, request(make_flow(1), tag), at_ms(100));
+    (void)decide(state, view, request(make_flow(2), tag), at_ms(700));
+    for (std::int64_t now_ms = 100; now_ms <= 5000; now_ms += 50) {
+        CHECK(collect_due(state, view, at_ms(now_ms)).stalled.empty());
+    }
+}
+
+// Guards against resets of flows of a host that is only busy.
+TEST_CASE("DirectorTest.AnyAnswerOfAHostEndsTheSuspicionThatItHasStalled") {
+    director_state state;
+    const auto view = make_view(make_directory(make_reports(1)));
+    for (std::uint16_t port = 1; port <= 4; ++port) {
+        (void)establish(state, view, make_flow(port), at_ms(0));
+    }
+    for (std::uint16_t port = 1; port <= 3; ++port) {
+        (void)decide(state, view, request(make_flow(port), tag_of(1)), at_ms(100 * port));
+    }
+    (void)decide(state, view, request(make_flow(4), tag_of(1)), at_ms(400));
+    (void)decide(state, view, acknowledging(make_flow(4), tag_of(1), 6000), at_ms(430));
+    for (std::int64_t now_ms = 440; now_ms <= 5000; now_ms += 20) {
+        CHECK(collect_due(state, view, at_ms(now_ms)).stalled.empty());
+    }
+}
+
 TEST_CASE("DirectorTest.WhenAHostBecomesUnreachableAllItsFlowsAreGivenUpAndNoOthers") {
     director_state state;
     const auto view = make_view(make_directory(make_reports(2)));
--- a/libs/director/tests/host_health_test.cpp
+++ b/libs/director/tests/host_health_test.cpp
@@ -57,6 +57,19 @@
     CHECK(is_probe_due(health, at_ms(80) + probe_period_unreachable));
 }
 
+TEST_CASE("HostHealthTest.AHostThatStallsAgainIsAvoidedForLongerUpToALimit") {
+    host_health health;
+    std::vector<std::int64_t> avoided_ms;
+    for (int stall = 0; stall < 5; ++stall) {
+        const auto now = at_ms(stall * 30'000 + 1000);
+        (void)note_overdue(health, now - milliseconds{1000}, now - milliseconds{600});
+        (void)note_overdue(health, now - milliseconds{800}, now - milliseconds{400});
+        CHECK(note_overdue(health, now - milliseconds{400}, now));
+        avoided_ms.push_back(std::chrono::duration_cast<milliseconds>(health.avoid_until - now).count());
+    }
+    CHECK(avoided_ms == std::vector<std::int64_t>{3000, 6000, 12000, 24000, 24000});
+}
+
 TEST_CASE("HostHealthTest.AnswerTimesAreAveraged") {
     host_health health;
     note_answer(health, at_ms(0), at_ms(20));
