Serve latency histograms of answers and store readings

Cause: the metrics address had counters only; the users ask for latency histograms. Change: latency_histogram with fixed buckets in telemetry; the director adds the time from a request to the first acknowledgement of its answer, and that of whole readings of the store.

--- a/apps/director/packet_duty.cpp
+++ b/apps/director/packet_duty.cpp
@@ -117,6 +117,9 @@
         } else if (decided.outcome == verdict::reset) {
             send_reset({.flow = packet.flow, .sequence = packet.opens ? 0 : packet.acknowledgement});
         }
+        if (decided.answered_request != mono_time{}) {
+            answer_times_.add(time - decided.answered_request);
+        }
         if (decided.reason == decision_reason::unknown_tag_unconfirmed) {
             context_.wants_listing = true;
         }
@@ -268,6 +271,8 @@
     std::array<std::byte, max_datagram_size> delivery_{};
     std::array<counter*, decision_reasons> decided_{make_decision_counters()};
     std::array<counter*, packet_faults> malformed_{make_fault_counters()};
+    latency_histogram& answer_times_{context_.counters.get_latency(
+        "answer_seconds", "Time from a caller's request to its first acknowledgement of the answer")};
     counter& probes_started_{context_.counters.get("probes_total", "TCP probes of suspected upstreams")};
     counter& reopened_{context_.counters.get(
         "opens_moved_total", "Unanswered opening packets that were sent to another upstream")};
--- a/apps/director/store_reader.cpp
+++ b/apps/director/store_reader.cpp
@@ -70,6 +70,7 @@
       listing_{.session = http_session{io, context.settings.store}},
       whole_reads_(context.counters.get("store_reads_total", "Readings of the platform's store", "whole")),
       watches_(context.counters.get("store_reads_total", "Readings of the platform's store", "watch")),
+      read_times_(context.counters.get_latency("store_read_seconds", "Duration of whole readings of the store")),
       read_failures_(context.counters.get("store_read_failures_total", "Readings without a usable answer")),
       unreadable_entries_(context.counters.get("upstream_entries_unreadable",
                                                "Upstream entries that cannot be read", "",
@@ -275,6 +276,9 @@
     // A whole reading sets the revision anew; the store's history may have started over.
     subject.watched_revision =
         reading.whole ? store_revision : std::max(subject.watched_revision, store_revision);
+    if (reading.whole) {
+        read_times_.add(now() - subject.started);
+    }
     const bool was_steady = sync_.steady_since != mono_time::max();
     note_read(sync_, reading, subject.started, now());
     if (reading.subject == store_subject::configuration) {
--- a/apps/director/store_reader.hpp
+++ b/apps/director/store_reader.hpp
@@ -63,6 +63,7 @@
     std::uint64_t configuration_revision_{0};  ///< of the version in force
     counter& whole_reads_;
     counter& watches_;
+    latency_histogram& read_times_;
     counter& read_failures_;
     counter& unreadable_entries_;
     counter& unreadable_routes_;
--- a/libs/director/include/guavaramp/director/director.hpp
+++ b/libs/director/include/guavaramp/director/director.hpp
@@ -65,6 +65,7 @@
     decision_reason reason{decision_reason::no_configuration};
     const known_upstream* target{nullptr};
     steering_tag tag{no_tag};  ///< written into a forwarded packet
+    mono_time answered_request{};  ///< when the request was sent that this packet shows answered; or the epoch
     const known_upstream* probe{nullptr};  ///< an upstream that the packet makes suspect, to be probed now
 };
 
--- a/libs/director/src/director.cpp
+++ b/libs/director/src/director.cpp
@@ -225,6 +225,7 @@
         remove_flow(state.flows, packet.flow);
         return explain_tag(state, view, packet, tag, now);
     }
+    const auto sent = entry == nullptr ? mono_time{} : entry->unanswered_since;
     const bool probe = entry != nullptr && observe(state, *entry, packet, now);
     const auto& health = health_of(state, tag);
     if (is_gone(view, *target, now) && now - health.last_progress > progress_protects) {
@@ -235,6 +236,7 @@
         remove_flow(state.flows, packet.flow);
         return reset(packet, decision_reason::upstream_unreachable, target);
     }
+    const bool answered = sent != mono_time{} && entry->unanswered_since == mono_time{};
     if (packet.aborts) {
         remove_flow(state.flows, packet.flow);
     } else if (packet.closes && entry != nullptr) {
@@ -243,6 +245,7 @@
     auto decided =
         forward(*target, tag, had_entry ? decision_reason::known_flow : decision_reason::tagged_flow);
     decided.probe = probe ? target : nullptr;
+    decided.answered_request = answered ? sent : mono_time{};
     return decided;
 }
 
--- a/libs/director/tests/director_test.cpp
+++ b/libs/director/tests/director_test.cpp
@@ -248,6 +248,18 @@
     CHECK(collect_due(state, view, at_ms(185)).probes.empty());
 }
 
+TEST_CASE("DirectorTest.TheFirstAcknowledgementOfAnAnswerTellsWhenItsRequestWasSent") {
+    director_state state;
+    const auto view = make_view(make_directory(make_reports(1)));
+    const auto tag = establish(state, view, make_flow(), at_ms(0));
+    CHECK(decide(state, view, request(make_flow(), tag), at_ms(100)).answered_request == mono_time{});
+    const auto answered = decide(state, view, acknowledging(make_flow(), tag, 6000), at_ms(125));
+    CHECK(answered.answered_request == at_ms(100));
+    CHECK(decide(state, view, acknowledging(make_flow(), tag, 7000), at_ms(126)).answered_request ==
+          mono_time{});
+    CHECK(health_of(state, tag).answer_time_ms == doctest::Approx(25));
+}
+
 // Guards against probes caused by packets of one request that overtake each other.
 TEST_CASE("DirectorTest.DataThatWasOvertakenIsNoRepeat") {
     director_state state;
--- a/libs/telemetry/src/counters.cpp
+++ b/libs/telemetry/src/counters.cpp
@@ -5,6 +5,10 @@
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+#include <limits>
+#include <ratio>
+
 namespace guavaramp {
 namespace {
 
@@ -21,8 +25,47 @@
     return metric;
 }
 
+/// Bucket counts are cumulative in the exposition format.
+prometheus::ClientMetric to_metric(const latency_histogram& histogram) {
+    prometheus::ClientMetric metric;
+    std::uint64_t cumulative = 0;
+    for (std::size_t bucket = 0; bucket <= latency_bounds_s.size(); ++bucket) {
+        cumulative += histogram.in_bucket(bucket);
+        const double bound = bucket < latency_bounds_s.size() ? latency_bounds_s.at(bucket)
+                                                              : std::numeric_limits<double>::infinity();
+        metric.histogram.bucket.push_back({.cumulative_count = cumulative, .upper_bound = bound});
+    }
+    metric.histogram.sample_count = cumulative;
+    metric.histogram.sample_sum = histogram.sum_s();
+    return metric;
+}
+
 }  // namespace
 
+void latency_histogram::add(std::chrono::steady_clock::duration latency) noexcept {
+    const double seconds = std::chrono::duration<double>(latency).count();
+    const auto* bound = std::lower_bound(latency_bounds_s.begin(), latency_bounds_s.end(), seconds);
+    buckets_.at(static_cast<std::size_t>(bound - latency_bounds_s.begin()))
+        .fetch_add(1, std::memory_order_relaxed);
+    const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(latency).count();
+    sum_us_.fetch_add(static_cast<std::uint64_t>(std::max<std::int64_t>(microseconds, 0)),
+                      std::memory_order_relaxed);
+}
+
+double latency_histogram::sum_s() const noexcept {
+    return static_cast<double>(sum_us_.load(std::memory_order_relaxed)) / std::micro::den;
+}
+
+latency_histogram& counter_registry::get_latency(const std::string& name, const std::string& help) {
+    const std::lock_guard lock{mutex_};
+    auto& slot = latencies_[name];
+    if (!slot) {
+        slot = std::make_unique<latency_family>();
+        slot->help = help;
+    }
+    return slot->histogram;
+}
+
 counter& counter_registry::get(const std::string& name, const std::string& help, const std::string& reason,
                                counter_kind kind) {
     const std::lock_guard lock{mutex_};
@@ -53,6 +96,12 @@
             }
             families.push_back(std::move(out));
         }
+        for (const auto& [name, found] : latencies_) {
+            families.push_back({"guavaramp_" + name,
+                                found->help,
+                                prometheus::MetricType::Histogram,
+                                {to_metric(found->histogram)}});
+        }
     }
     return prometheus::TextSerializer{}.Serialize(families);
 }
--- a/libs/telemetry/tests/counters_test.cpp
+++ b/libs/telemetry/tests/counters_test.cpp
@@ -19,5 +19,21 @@
           std::string::npos);
 }
 
+TEST_CASE("CounterRegistryTest.ALatencyIsCountedInEveryBucketFromItsBoundUpwards") {
+    counter_registry registry;
+    auto& latencies = registry.get_latency("answer_seconds", "Answers.");
+    latencies.add(std::chrono::milliseconds{10});
+    latencies.add(std::chrono::milliseconds{11});
+    latencies.add(std::chrono::seconds{60});
+    const auto text = registry.to_prometheus();
+    CHECK(text.find("guavaramp_answer_seconds_bucket{le=\"0.005\"} 0") != std::string::npos);
+    CHECK(text.find("guavaramp_answer_seconds_bucket{le=\"0.01\"} 1") != std::string::npos);
+    CHECK(text.find("guavaramp_answer_seconds_bucket{le=\"0.02\"} 2") != std::string::npos);
+    CHECK(text.find("guavaramp_answer_seconds_bucket{le=\"10.24\"} 2") != std::string::npos);
+    CHECK(text.find("guavaramp_answer_seconds_bucket{le=\"+Inf\"} 3") != std::string::npos);
+    CHECK(text.find("guavaramp_answer_seconds_count 3") != std::string::npos);
+    CHECK(latencies.sum_s() == doctest::Approx(60.021));
+}
+
 }  // namespace
 }  // namespace guavaramp
