--- a/apps/director/control_duty.cpp
+++ b/apps/director/control_duty.cpp
@@ -48,11 +48,10 @@
     [[nodiscard]] result<void> start() {
         add_routes();
         for (const auto& local : {context_.settings.status, context_.settings.metrics}) {
-            auto server = attach_http_server(
-                io_, {.local = local, .max_connections = most_http_connections},
-                [this](http_request request, const http_responder& respond) {
-                    router_.handle(std::move(request), respond);
-                });
+            auto server = attach_http_server(io_, {.local = local, .max_connections = most_http_connections},
+                                             [this](http_request request, const http_responder& respond) {
+                                                 router_.handle(std::move(request), respond);
+                                             });
             if (!server) {
                 return tl::make_unexpected(server.error());
             }
--- a/apps/director/director_context.hpp
+++ b/apps/director/director_context.hpp
@@ -42,7 +42,7 @@
 /// What the packet thread needs to talk to the other directors.
 struct fleet_roster {
     fleet_keys keys;
-    std::uint64_t incarnation{0};       ///< of this process
+    std::uint64_t incarnation{0};      ///< of this process
     std::vector<director_peer> peers;  ///< the others of the own failure domain
 };
 
@@ -54,9 +54,9 @@
     published<fleet_roster> roster;
     ring<decision_record> decisions{record_ring_size};
     ring<probe_record> probes{record_ring_size};
-    std::atomic<bool> wants_listing{false};  ///< a packet's tag needs a listing newer than the last
-    std::atomic<bool> leaving{false};        ///< a planned stop has begun
-    std::atomic<bool> stopped{false};        ///< the threads end
+    std::atomic<bool> wants_listing{false};       ///< a packet's tag needs a listing newer than the last
+    std::atomic<bool> leaving{false};             ///< a planned stop has begun
+    std::atomic<bool> stopped{false};             ///< the threads end
     std::atomic<std::int64_t> last_packet_ms{0};  ///< steady clock
 };
 
--- a/apps/director/main.cpp
+++ b/apps/director/main.cpp
@@ -39,7 +39,8 @@
 void report_reload(const std::string& settings_path) {
     const auto settings = load_director_settings(settings_path);
     if (settings) {
-        log_event(log_level::info, "settings_checked", {{"file", settings_path}, {"effect", "at the next start"}});
+        log_event(log_level::info, "settings_checked",
+                  {{"file", settings_path}, {"effect", "at the next start"}});
     } else {
         log_event(log_level::warning, "settings_refused", {{"message", settings.error().message}});
     }
@@ -130,9 +131,13 @@
                                GUAVARAMP_VERSION};
         const char* default_path = std::getenv("GUAVARAMP_CONFIG");
         TCLAP::ValueArg<std::string> settings{
-            "s",    "settings", "Settings file (JSON with comments); GUAVARAMP_CONFIG when not given",
-            false,  default_path == nullptr ? "" : default_path,
-            "file", command};
+            "s",
+            "settings",
+            "Settings file (JSON with comments); GUAVARAMP_CONFIG when not given",
+            false,
+            default_path == nullptr ? "" : default_path,
+            "file",
+            command};
         TCLAP::SwitchArg check{"", "check-settings", "Check the settings file and exit", command};
         command.setExceptionHandling(false);
         command.parse(argc, argv);
--- a/apps/director/packet_duty.cpp
+++ b/apps/director/packet_duty.cpp
@@ -141,8 +141,9 @@
     }
 
     void send_reset(const flow_reset& reset) {
-        socket_.send({.address = from_ipv4(reset.flow.caller_address), .port = context_.settings.packets.port},
-                     encode_reset(reset.flow, reset.sequence));
+        socket_.send(
+            {.address = from_ipv4(reset.flow.caller_address), .port = context_.settings.packets.port},
+            encode_reset(reset.flow, reset.sequence));
     }
 
     void do_due_work() {
@@ -273,8 +274,9 @@
     [[nodiscard]] std::array<counter*, decision_reasons> make_decision_counters() {
         std::array<counter*, decision_reasons> made{};
         for (std::size_t index = 0; index < made.size(); ++index) {
-            made.at(index) = &context_.counters.get("packets_total", "Packets by the reason of their decision",
-                                                    std::string{to_string(decision_reason(index))});
+            made.at(index) =
+                &context_.counters.get("packets_total", "Packets by the reason of their decision",
+                                       std::string{to_string(decision_reason(index))});
         }
         return made;
     }
@@ -282,8 +284,9 @@
     [[nodiscard]] std::array<counter*, packet_faults> make_fault_counters() {
         std::array<counter*, packet_faults> made{};
         for (std::size_t index = 0; index < made.size(); ++index) {
-            made.at(index) = &context_.counters.get("datagrams_malformed_total", "Datagrams that are no packets",
-                                                    std::string{to_string(packet_fault(index))});
+            made.at(index) =
+                &context_.counters.get("datagrams_malformed_total", "Datagrams that are no packets",
+                                       std::string{to_string(packet_fault(index))});
         }
         return made;
     }
--- a/apps/director/peer_link.cpp
+++ b/apps/director/peer_link.cpp
@@ -3,8 +3,8 @@
 namespace guavaramp {
 namespace {
 
-/// Messages to other directors. One note of 150 bytes to 132 others, the failure domain at the design size, five
-/// times a second stays below the 19 KB/s for control; the burst covers the crash of a host.
+/// Messages to other directors. One note of 150 bytes to 132 others, the failure domain at the design size,
+/// five times a second stays below the 19 KB/s for control; the burst covers the crash of a host.
 constexpr double messages_per_second = 100;
 constexpr double messages_burst = 400;
 /// Directors whose messages are remembered against replay: twice a failure domain at the design size.
@@ -109,7 +109,8 @@
     if (!message) {
         return message;
     }
-    if (auto fresh = replays_.accept(received.source.address, message->incarnation, message->sequence); !fresh) {
+    if (auto fresh = replays_.accept(received.source.address, message->incarnation, message->sequence);
+        !fresh) {
         return tl::make_unexpected(fresh.error());
     }
     return message;
--- a/apps/director/peer_link.hpp
+++ b/apps/director/peer_link.hpp
@@ -26,8 +26,8 @@
 
     [[nodiscard]] int native_handle() const noexcept { return socket_.native_handle(); }
 
-    /// Sends `notes` to all other directors of the failure domain. More than a message holds, or more messages
-    /// a second than the limit, are dropped and counted.
+    /// Sends `notes` to all other directors of the failure domain. More than a message holds, or more
+    /// messages a second than the limit, are dropped and counted.
     void send_to_all(std::span<const host_note> notes, mono_time now);
 
     /// Sends `note` to one director.
--- a/apps/director/roster_keeper.cpp
+++ b/apps/director/roster_keeper.cpp
@@ -27,8 +27,8 @@
       session_(io, context.settings.store),
       calls_(context.counters.get("registration_calls_total", "Calls that keep this director's entry")),
       failures_(context.counters.get("registration_failures_total", "Those without a usable answer")),
-      peers_known_(context.counters.get("peers", "Other directors of the failure domain", "",
-                                        counter_kind::gauge)) {}
+      peers_known_(
+          context.counters.get("peers", "Other directors of the failure domain", "", counter_kind::gauge)) {}
 
 void roster_keeper::start() { take_step(); }
 
@@ -103,11 +103,12 @@
 void roster_keeper::write_entry() {
     std::vector<store_put> puts{
         {.key = own_key(context_.settings),
-         .value = encode_director_entry({.address = context_.settings.peers,
-                                         .failure_domain = context_.settings.failure_domain}),
+         .value = encode_director_entry(
+             {.address = context_.settings.peers, .failure_domain = context_.settings.failure_domain}),
          .lease = state_.lease}};
     if (!state_.fleet_key_known) {
-        puts.push_back({.key = std::string{fleet_key_key}, .value = make_fleet_key(), .only_if_absent = true});
+        puts.push_back(
+            {.key = std::string{fleet_key_key}, .value = make_fleet_key(), .only_if_absent = true});
     }
     const auto call = write_call(puts);
     session_.post(call.target, call.body, now() + call_timeout, [this](const result<http_response>& answer) {
--- a/apps/director/roster_keeper.hpp
+++ b/apps/director/roster_keeper.hpp
@@ -12,8 +12,8 @@
 
 namespace guavaramp {
 
-/// Keeps this director's entry in the platform's store and publishes the others' as a `fleet_roster`. To be used
-/// on the thread of the Asio context only.
+/// Keeps this director's entry in the platform's store and publishes the others' as a `fleet_roster`. To be
+/// used on the thread of the Asio context only.
 class roster_keeper {
 public:
     roster_keeper(asio::io_context& io, director_context& context);
--- a/apps/director/store_reader.cpp
+++ b/apps/director/store_reader.cpp
@@ -59,11 +59,11 @@
       checks_(context.counters.get("store_reads_total", "Readings of the platform's store", "check")),
       missed_changes_(context.counters.get("watch_missed_changes_total",
                                            "Changes that a check showed before their watch did")),
-      read_times_(context.counters.get_latency("store_read_seconds", "Duration of whole readings of the store")),
+      read_times_(
+          context.counters.get_latency("store_read_seconds", "Duration of whole readings of the store")),
       read_failures_(context.counters.get("store_read_failures_total", "Readings without a usable answer")),
-      unreadable_entries_(context.counters.get("upstream_entries_unreadable",
-                                               "Upstream entries that cannot be read", "",
-                                               counter_kind::gauge)),
+      unreadable_entries_(context.counters.get(
+          "upstream_entries_unreadable", "Upstream entries that cannot be read", "", counter_kind::gauge)),
       unreadable_routes_(
           context.counters.get("routes_unreadable", "Routes that cannot be read", "", counter_kind::gauge)),
       configuration_version_(
@@ -126,7 +126,8 @@
     const auto page = decode_answer(answer, decode_page);
     upstream_listing listing;
     if (page) {
-        // A listing of several pages is checked by its first; all of them would be as dear as a whole reading.
+        // A listing of several pages is checked by its first; all of them would be as dear as a whole
+        // reading.
         listing.revision = page->has_more ? 0 : page->store_revision;
         for (const auto& item : page->items) {
             listing.reports.push_back(decode_upstream(item));
@@ -138,8 +139,7 @@
 void store_reader::check_ended(store_subject subject, bool missed) {
     const auto& reading = subject == store_subject::configuration ? configuration_ : listing_;
     const auto& state = sync_of(sync_, subject);
-    const bool watching =
-        state.reading && !state.read_whole && now() >= reading.started + least_watched_time;
+    const bool watching = state.reading && !state.read_whole && now() >= reading.started + least_watched_time;
     if (missed && watching) {
         missed_changes_.add();
         log_event(log_level::info, "watch_missed_change", {{"reading", to_text(subject)}});
--- a/libs/director/include/guavaramp/director/choice.hpp
+++ b/libs/director/include/guavaramp/director/choice.hpp
@@ -7,8 +7,8 @@
 namespace guavaramp {
 
 /// Cost of an upstream in another failure domain relative to one in the own. A link between failure domains
-/// may be cut while each side's callers stay reachable, so flows stay inside until the own upstreams carry many
-/// times the load of the others.
+/// may be cut while each side's callers stay reachable, so flows stay inside until the own upstreams carry
+/// many times the load of the others.
 inline constexpr double other_failure_domain_cost = 8.0;
 /// Cost of a flow whose caller waits for an answer, relative to an open flow that is idle now.
 inline constexpr double waiting_flow_cost = 4.0;
--- a/libs/director/include/guavaramp/director/director.hpp
+++ b/libs/director/include/guavaramp/director/director.hpp
@@ -20,7 +20,8 @@
 
 namespace guavaramp {
 
-/// What the platform has said, as one immutable value that the control thread publishes for the packet thread.
+/// What the platform has said, as one immutable value that the control thread publishes for the packet
+/// thread.
 struct fleet_view {
     std::string own_failure_domain;
     std::shared_ptr<const route_table> routes;        ///< null before the first configuration
@@ -37,18 +38,18 @@
 
 /// Why a packet got its verdict. Each value is a counter's label and the `reason` of a log line.
 enum class decision_reason : std::uint8_t {
-    placed,                ///< new flow
-    placed_again,          ///< a copy of the opening packet; there is no other host
-    placed_elsewhere,      ///< the first host left the opening packet unanswered
-    known_flow,            ///< the flow's entry names the upstream
-    tagged_flow,           ///< no entry; the packet's tag names the upstream
+    placed,            ///< new flow
+    placed_again,      ///< a copy of the opening packet; there is no other host
+    placed_elsewhere,  ///< the first host left the opening packet unanswered
+    known_flow,        ///< the flow's entry names the upstream
+    tagged_flow,       ///< no entry; the packet's tag names the upstream
     no_configuration,
     no_route,
     no_route_unconfirmed,  ///< no route, but the configuration may be out of date
     no_listing,
-    no_upstream,           ///< no upstream of the route's services takes new flows
-    untagged,              ///< neither entry nor tag
-    unknown_tag,           ///< the tag names no upstream that was ever listed
+    no_upstream,  ///< no upstream of the route's services takes new flows
+    untagged,     ///< neither entry nor tag
+    unknown_tag,  ///< the tag names no upstream that was ever listed
     unknown_tag_unconfirmed,
     upstream_gone,         ///< the upstream left the list for good
     upstream_unreachable,  ///< a probe has just failed
@@ -67,7 +68,8 @@
     decision_reason reason{decision_reason::no_configuration};
     const known_upstream* target{nullptr};
     steering_tag tag{no_tag};  ///< written into a forwarded packet
-    mono_time answered_request{};  ///< when the request was sent that this packet shows answered; or the epoch
+    mono_time
+        answered_request{};  ///< when the request was sent that this packet shows answered; or the epoch
     const known_upstream* probe{nullptr};  ///< an upstream that the packet makes suspect, to be probed now
 };
 
@@ -140,13 +142,13 @@
 
 /// What a note from another director asks for. Pointers lead into the view.
 struct note_effect {
-    std::optional<host_note> reply;   ///< to its sender
+    std::optional<host_note> reply;    ///< to its sender
     std::optional<host_note> pass_on;  ///< to all directors of the failure domain
     const known_upstream* probe{nullptr};
 };
 
-/// Learns from a note of another director of the same failure domain. A note never makes a host unreachable by
-/// itself: the receiver's own probe does. Not thread-safe.
+/// Learns from a note of another director of the same failure domain. A note never makes a host unreachable
+/// by itself: the receiver's own probe does. Not thread-safe.
 [[nodiscard]] note_effect receive_note(director_state& state, const fleet_view& view, const host_note& note,
                                        mono_time now);
 
@@ -156,8 +158,9 @@
     std::uint32_t sequence{0};
 };
 
-/// Takes the flows of an upstream out of the cache. To be called when it has become unreachable or has stalled: its callers
-/// then learn it before they send their next request, which could not be repeated. Not thread-safe.
+/// Takes the flows of an upstream out of the cache. To be called when it has become unreachable or has
+/// stalled: its callers then learn it before they send their next request, which could not be repeated. Not
+/// thread-safe.
 [[nodiscard]] std::vector<flow_reset> take_flows_of(director_state& state, steering_tag tag);
 
 /// The health record of the upstream behind `tag`. Not thread-safe.
--- a/libs/director/include/guavaramp/director/flow_cache.hpp
+++ b/libs/director/include/guavaramp/director/flow_cache.hpp
@@ -9,9 +9,9 @@
 
 namespace guavaramp {
 
-/// What a director remembers of a flow whose packets it has seen. A flow survives the loss of its entry, since
-/// its packets carry the tag; the entry keeps a flow with one host while two have answered its opening packet,
-/// and shows whether the host answers.
+/// What a director remembers of a flow whose packets it has seen. A flow survives the loss of its entry,
+/// since its packets carry the tag; the entry keeps a flow with one host while two have answered its opening
+/// packet, and shows whether the host answers.
 struct flow_entry {
     steering_tag tag{no_tag};           ///< the upstream that the flow belongs to
     steering_tag earlier_tag{no_tag};   ///< the one that left the flow's first opening packet unanswered
@@ -19,8 +19,9 @@
     std::uint32_t last_acknowledged{0};
     std::uint32_t sent_until{0};  ///< end of the caller's data seen so far
     mono_time last_seen{};
-    mono_time unanswered_since{};  ///< when the caller first sent what has not been answered; the epoch: nothing
-    bool established{false};       ///< the caller has acknowledged a host's answer
+    mono_time
+        unanswered_since{};   ///< when the caller first sent what has not been answered; the epoch: nothing
+    bool established{false};  ///< the caller has acknowledged a host's answer
     bool closing{false};
 };
 
--- a/libs/director/include/guavaramp/director/flow_packet.hpp
+++ b/libs/director/include/guavaramp/director/flow_packet.hpp
@@ -37,7 +37,7 @@
     std::uint32_t acknowledgement{0};  ///< of an opening packet: how many copies were sent before it
     steering_tag tag{no_tag};
     std::uint16_t payload_bytes{0};
-    bool opens{false};   ///< SYN
+    bool opens{false};  ///< SYN
     bool acknowledges{false};
     bool closes{false};  ///< FIN
     bool aborts{false};  ///< RST
--- a/libs/director/include/guavaramp/director/host_health.hpp
+++ b/libs/director/include/guavaramp/director/host_health.hpp
@@ -7,8 +7,9 @@
 
 namespace guavaramp {
 
-/// Failure detection of one upstream from what its callers send, since answers do not pass through a director.
-/// Callers' packets raise the suspicion; a TCP connection to the upstream's address confirms or clears it.
+/// Failure detection of one upstream from what its callers send, since answers do not pass through a
+/// director. Callers' packets raise the suspicion; a TCP connection to the upstream's address confirms or
+/// clears it.
 
 /// Period between two probes of an upstream that answered: a second suspicion this soon is the same incident.
 inline constexpr auto probe_period_reachable = std::chrono::milliseconds{300};
@@ -20,11 +21,12 @@
 /// limit, which a probe does not show. Fifteen times the callers' first repeat.
 inline constexpr auto avoid_after_silence = std::chrono::milliseconds{3000};
 
-/// Overdue requests in a row that show a host to be stalled: it accepts connections and answers nobody. One or
-/// two can be requests whose later packets go through another director, so that their answers are not seen.
+/// Overdue requests in a row that show a host to be stalled: it accepts connections and answers nobody. One
+/// or two can be requests whose later packets go through another director, so that their answers are not
+/// seen.
 inline constexpr std::uint32_t overdue_requests_of_stalled = 3;
-/// Least time from the first of them to the verdict: above the longest answer of a slow and cold host behind a
-/// full queue, about 700 ms.
+/// Least time from the first of them to the verdict: above the longest answer of a slow and cold host behind
+/// a full queue, about 700 ms.
 inline constexpr auto least_stall_time = std::chrono::milliseconds{900};
 /// Overdue requests further apart than this are not of one stall.
 inline constexpr auto overdue_window = std::chrono::milliseconds{5000};
@@ -40,16 +42,17 @@
 
 /// What one director knows of one upstream's reachability.
 struct host_health {
-    mono_time last_progress{};      ///< when a flow last showed that the host had answered in any way
-    mono_time last_answer{};        ///< when one showed that it had answered a request; hosts that hang still open flows
+    mono_time last_progress{};  ///< when a flow last showed that the host had answered in any way
+    mono_time
+        last_answer{};  ///< when one showed that it had answered a request; hosts that hang still open flows
     mono_time last_silence{};       ///< when a packet was last found unanswered for too long
     mono_time unreachable_until{};  ///< deadline of the belief that the host cannot be reached
     mono_time avoid_until{};        ///< deadline until which new flows prefer other hosts
     mono_time next_probe_at{};
-    mono_time first_overdue_sent{};   ///< when the first of the overdue requests was sent
+    mono_time first_overdue_sent{};     ///< when the first of the overdue requests was sent
     std::uint32_t overdue_requests{0};  ///< in a row, without an answer to any flow
     std::uint32_t stalls{0};            ///< in a row
-    double answer_time_ms{0};       ///< moving average of request to first answer; 0: none yet
+    double answer_time_ms{0};           ///< moving average of request to first answer; 0: none yet
     bool probing{false};
     bool unreachable{false};  ///< the last probe failed; probed again until one succeeds
 
@@ -65,12 +68,12 @@
 /// A flow's request, sent at `sent`, has its first answer. Not thread-safe.
 void note_answer(host_health& health, mono_time sent, mono_time now) noexcept;
 
-/// A packet that a caller first sent at `first_sent` is still unanswered, later than answers come. Returns whether a probe should start now.
-/// Not thread-safe.
+/// A packet that a caller first sent at `first_sent` is still unanswered, later than answers come. Returns
+/// whether a probe should start now. Not thread-safe.
 [[nodiscard]] bool note_silence(host_health& health, mono_time first_sent, mono_time now) noexcept;
 
-/// A request sent at `sent` is overdue, here or at another director. Returns whether it counts: no flow of the
-/// host was answered since. Not thread-safe.
+/// A request sent at `sent` is overdue, here or at another director. Returns whether it counts: no flow of
+/// the host was answered since. Not thread-safe.
 [[nodiscard]] bool note_overdue(host_health& health, mono_time sent, mono_time now) noexcept;
 
 /// A flow of the host was answered at `answered`, as seen by another director. Not thread-safe.
--- a/libs/director/include/guavaramp/director/registration.hpp
+++ b/libs/director/include/guavaramp/director/registration.hpp
@@ -7,8 +7,8 @@
 
 namespace guavaramp {
 
-/// A director's entry among the others: kept in the platform's store under a lease, so that it vanishes with the
-/// director. The fleet works without it; peers then hear nothing from a director that has none.
+/// A director's entry among the others: kept in the platform's store under a lease, so that it vanishes with
+/// the director. The fleet works without it; peers then hear nothing from a director that has none.
 
 /// Duration of the lease: an entry outlives its director by at most this time.
 inline constexpr auto registration_lease = std::chrono::milliseconds{30000};
@@ -31,12 +31,12 @@
     bool in_progress{false};
     bool fleet_key_known{false};
     std::uint32_t reads_without_own{0};  ///< in a row, since the entry was written
-    std::uint64_t lease{0};        ///< 0: none
-    std::uint64_t incarnation{0};  ///< revision of the own entry; 0: not written yet
+    std::uint64_t lease{0};              ///< 0: none
+    std::uint64_t incarnation{0};        ///< revision of the own entry; 0: not written yet
 };
 
-/// Readings in a row without the own entry that show that it is gone although its lease lives. A single cached
-/// one may be older than the entry.
+/// Readings in a row without the own entry that show that it is gone although its lease lives. A single
+/// cached one may be older than the entry.
 inline constexpr std::uint32_t reads_that_show_loss = 2;
 
 /// What a reading of the fleet has shown.
--- a/libs/director/include/guavaramp/director/routes.hpp
+++ b/libs/director/include/guavaramp/director/routes.hpp
@@ -36,7 +36,8 @@
     friend bool operator==(const route_configuration&, const route_configuration&) = default;
 };
 
-/// A configuration indexed by address and port. Immutable after `make_route_table`, so any thread may read it.
+/// A configuration indexed by address and port. Immutable after `make_route_table`, so any thread may read
+/// it.
 struct route_table {
     std::uint64_t version{0};
     std::int64_t idle_timeout_ms{0};
--- a/libs/director/include/guavaramp/director/store_sync.hpp
+++ b/libs/director/include/guavaramp/director/store_sync.hpp
@@ -21,32 +21,33 @@
 inline constexpr auto watch_wait = std::chrono::milliseconds{20000};
 /// Least time between two watches of the configuration: bounds the calls that a series of changes causes.
 inline constexpr auto least_configuration_period = std::chrono::milliseconds{200};
-/// The same for the listing. Half of the 3 s in which a drain must be in force; the other half is for a reading
-/// that fails.
+/// The same for the listing. Half of the 3 s in which a drain must be in force; the other half is for a
+/// reading that fails.
 inline constexpr auto least_listing_period = std::chrono::milliseconds{1500};
 /// Period of checking both subjects, in turn, against cached readings, which cost a tenth: a watch can miss a
-/// change without an error when the store drops its history, or wait on a connection that brings nothing more.
-/// With it a missed change is found within half of the 3 s in which a drain must be in force.
+/// change without an error when the store drops its history, or wait on a connection that brings nothing
+/// more. With it a missed change is found within half of the 3 s in which a drain must be in force.
 inline constexpr auto check_period = std::chrono::milliseconds{750};
 /// First wait after a reading that failed; doubles up to `longest_retry_wait`.
 inline constexpr auto retry_wait = std::chrono::milliseconds{100};
 inline constexpr auto longest_retry_wait = std::chrono::milliseconds{500};
 /// How long a reading may take. Above the slowest answers that the platform announces (60 times 4 ms).
 inline constexpr auto read_timeout = std::chrono::milliseconds{700};
-/// How long after the store's return an upstream may take to be listed again: two seconds by its contract, and
-/// one reading.
+/// How long after the store's return an upstream may take to be listed again: two seconds by its contract,
+/// and one reading.
 inline constexpr auto relisting_time = std::chrono::milliseconds{2500};
 /// State of the readings of one subject.
 struct subject_sync {
     mono_time next_at{};
     std::uint32_t failures{0};  ///< in a row
     bool reading{false};
-    bool read_whole{true};      ///< the next reading is of everything, not of what has changed
+    bool read_whole{true};  ///< the next reading is of everything, not of what has changed
 };
 
 struct store_sync {
     std::array<subject_sync, store_subjects> subjects{};
-    mono_time steady_since{mono_time::max()};  ///< first success after the last failure; the maximum: none yet
+    mono_time steady_since{
+        mono_time::max()};  ///< first success after the last failure; the maximum: none yet
 };
 
 /// A reading to start now.
@@ -60,7 +61,8 @@
 [[nodiscard]] const subject_sync& sync_of(const store_sync& sync, store_subject subject) noexcept;
 
 /// Whether `subject` should be read now; marks it as being read. Not thread-safe.
-[[nodiscard]] bool start_if_due(store_sync& sync, store_subject subject, mono_time now, due_reading& out) noexcept;
+[[nodiscard]] bool start_if_due(store_sync& sync, store_subject subject, mono_time now,
+                                due_reading& out) noexcept;
 
 /// A reading that started at `started` has ended well. Not thread-safe.
 void note_read(store_sync& sync, const due_reading& reading, mono_time started, mono_time now) noexcept;
--- a/libs/director/include/guavaramp/director/upstreams.hpp
+++ b/libs/director/include/guavaramp/director/upstreams.hpp
@@ -38,9 +38,9 @@
     friend bool operator==(const upstream_report&, const upstream_report&) = default;
 };
 
-/// The tag that leads later packets of a flow back to the upstream, derived from its delivery id alone, so that
-/// every director computes the same one and a director that has just started needs no table. Never `no_tag`.
-/// Thread-safe.
+/// The tag that leads later packets of a flow back to the upstream, derived from its delivery id alone, so
+/// that every director computes the same one and a director that has just started needs no table. Never
+/// `no_tag`. Thread-safe.
 [[nodiscard]] steering_tag tag_of(std::uint64_t delivery_id) noexcept;
 
 /// An upstream that was listed at some time.
@@ -64,7 +64,14 @@
 };
 
 /// Kinds of change that a listing makes, for log lines.
-enum class upstream_change_kind : std::uint8_t { appeared, returned, restarted, phase_changed, unlisted, forgotten };
+enum class upstream_change_kind : std::uint8_t {
+    appeared,
+    returned,
+    restarted,
+    phase_changed,
+    unlisted,
+    forgotten
+};
 
 struct upstream_change {
     upstream_change_kind kind;
@@ -99,11 +106,12 @@
                                                          mono_time keep_unlisted_since);
 
 /// Applies what has changed. Entries older than what is known change nothing. Not thread-safe.
-[[nodiscard]] std::vector<upstream_change> apply_news(upstream_directory& directory, const upstream_news& news,
-                                                      mono_time now, mono_time keep_unlisted_since);
+[[nodiscard]] std::vector<upstream_change> apply_news(upstream_directory& directory,
+                                                      const upstream_news& news, mono_time now,
+                                                      mono_time keep_unlisted_since);
 
-/// Whether a listing, maybe an older one, shows a change that the directory has not seen: an entry that is newer
-/// or unknown, or the absence of one that existed at the listing's revision. Not thread-safe.
+/// Whether a listing, maybe an older one, shows a change that the directory has not seen: an entry that is
+/// newer or unknown, or the absence of one that existed at the listing's revision. Not thread-safe.
 [[nodiscard]] bool shows_missed_change(const upstream_directory& directory, const upstream_listing& listing);
 
 /// An immutable copy of the directory for the packet path. Any thread may read it.
--- a/libs/director/src/choice.cpp
+++ b/libs/director/src/choice.cpp
@@ -1,6 +1,5 @@
-#include <guavaramp/director/choice.hpp>
-
 #include <guavaramp/base/hash.hpp>
+#include <guavaramp/director/choice.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -33,7 +32,8 @@
                steering_tag tag, double mean_answer_ms, mono_time now) {
     const auto& report = candidate.report;
     const auto work = work_of(state.flows, tag);
-    double cost = (work.open + waiting_flow_cost * work.waiting + 1.0) / std::max<std::uint32_t>(report.slots, 1);
+    double cost =
+        (work.open + waiting_flow_cost * work.waiting + 1.0) / std::max<std::uint32_t>(report.slots, 1);
     if (report.failure_domain != view.own_failure_domain) {
         cost *= other_failure_domain_cost;
     }
--- a/libs/director/src/director.cpp
+++ b/libs/director/src/director.cpp
@@ -1,6 +1,5 @@
-#include <guavaramp/director/director.hpp>
-
 #include <guavaramp/director/choice.hpp>
+#include <guavaramp/director/director.hpp>
 #include <guavaramp/director/store_sync.hpp>
 
 #include <algorithm>
@@ -38,10 +37,10 @@
 constexpr auto keep_unexplained_tag = std::chrono::seconds{30};
 
 constexpr std::array<std::string_view, decision_reasons> reason_names{
-    "placed", "placed_again", "placed_elsewhere", "known_flow", "tagged_flow",
-    "no_configuration", "no_route",    "no_route_unconfirmed", "no_listing",
-    "no_upstream", "untagged",         "unknown_tag",          "unknown_tag_unconfirmed",
-    "upstream_gone",    "upstream_unreachable", "upstream_stalled"};
+    "placed",           "placed_again", "placed_elsewhere",        "known_flow",    "tagged_flow",
+    "no_configuration", "no_route",     "no_route_unconfirmed",    "no_listing",    "no_upstream",
+    "untagged",         "unknown_tag",  "unknown_tag_unconfirmed", "upstream_gone", "upstream_unreachable",
+    "upstream_stalled"};
 
 decision drop(decision_reason reason) { return {.outcome = verdict::drop, .reason = reason}; }
 
@@ -102,8 +101,7 @@
         return drop(decision_reason::no_listing);
     }
     auto* entry = find_flow(state.flows, packet.flow);
-    const bool copy =
-        entry != nullptr && !entry->established && entry->opening_sequence == packet.sequence;
+    const bool copy = entry != nullptr && !entry->established && entry->opening_sequence == packet.sequence;
     const auto except = copy ? entry->tag : no_tag;
     const auto* chosen = choose_for(state, view, matched, packet.flow, except, now);
     if (chosen == nullptr) {
@@ -115,8 +113,8 @@
         const bool moved = tag != entry->tag;
         entry->last_seen = now;
         const auto* probe = move_unopened(state, view, *entry, *chosen, now);
-        auto decided = forward(
-            *chosen, tag, moved ? decision_reason::placed_elsewhere : decision_reason::placed_again);
+        auto decided =
+            forward(*chosen, tag, moved ? decision_reason::placed_elsewhere : decision_reason::placed_again);
         decided.probe = probe;
         return decided;
     }
@@ -129,8 +127,8 @@
     return forward(*chosen, tag, decision_reason::placed);
 }
 
-/// From when on it counts that an upstream is not listed since `absent_since`: after the store's return, hosts
-/// take some time to be listed again.
+/// From when on it counts that an upstream is not listed since `absent_since`: after the store's return,
+/// hosts take some time to be listed again.
 mono_time settled_at(const fleet_view& view, mono_time absent_since) noexcept {
     return view.steady_since == mono_time::max() ? view.steady_since
                                                  : std::max(absent_since, view.steady_since) + relisting_time;
@@ -256,8 +254,7 @@
 /// The entry of a flow that still waits for the answer to its opening packet, or null.
 flow_entry* unopened_entry(director_state& state, const pending_open& pending) noexcept {
     auto* entry = find_flow(state.flows, pending.flow);
-    const bool waits =
-        entry != nullptr && !entry->established && entry->opening_sequence == pending.sequence;
+    const bool waits = entry != nullptr && !entry->established && entry->opening_sequence == pending.sequence;
     return waits ? entry : nullptr;
 }
 
@@ -274,7 +271,8 @@
 }
 
 /// Sends an unanswered opening packet to another host, unless there is none or it was sent to enough.
-void reopen(director_state& state, const fleet_view& view, pending_open pending, mono_time now, due_work& due) {
+void reopen(director_state& state, const fleet_view& view, pending_open pending, mono_time now,
+            due_work& due) {
     auto* entry = unopened_entry(state, pending);
     const auto* matched = view.routes == nullptr ? nullptr : find_route(*view.routes, pending.flow);
     if (entry == nullptr || matched == nullptr || view.upstreams == nullptr) {
@@ -410,8 +408,8 @@
         }
         if (state.overdue.size() < max_pending) {
             state.overdue.push_back({.flow = pending.flow,
-                                    .sent_at = pending.sent_at,
-                                    .due_at = pending.sent_at + overdue_after});
+                                     .sent_at = pending.sent_at,
+                                     .due_at = pending.sent_at + overdue_after});
         }
     }
     while (!state.overdue.empty() && state.overdue.front().due_at <= now) {
@@ -419,9 +417,8 @@
         state.overdue.pop_front();
         const auto* entry = waiting_entry(state, pending);
         if (entry != nullptr && count_overdue(state, entry->tag, pending.sent_at, now)) {
-            due.notes.push_back({.kind = host_note_kind::overdue,
-                                 .tag = entry->tag,
-                                 .age_ms = age_ms(pending.sent_at, now)});
+            due.notes.push_back(
+                {.kind = host_note_kind::overdue, .tag = entry->tag, .age_ms = age_ms(pending.sent_at, now)});
         }
     }
     while (!state.stall_checks.empty() && state.stall_checks.front().due_at <= now) {
@@ -453,8 +450,8 @@
                                        .age_ms = age_ms(health.last_answer, now)}};
         case host_note_kind::answered:
             note_answer_elsewhere(health, at);
-            return {.pass_on = host_note{
-                        .kind = host_note_kind::cleared, .tag = note.tag, .age_ms = note.age_ms}};
+            return {.pass_on =
+                        host_note{.kind = host_note_kind::cleared, .tag = note.tag, .age_ms = note.age_ms}};
         case host_note_kind::cleared:
             note_answer_elsewhere(health, at);
             return {};
--- a/libs/director/src/flow_packet.cpp
+++ b/libs/director/src/flow_packet.cpp
@@ -1,7 +1,6 @@
-#include <guavaramp/director/flow_packet.hpp>
-
 #include <guavaramp/base/address.hpp>
 #include <guavaramp/base/hash.hpp>
+#include <guavaramp/director/flow_packet.hpp>
 
 namespace guavaramp {
 
--- a/libs/director/src/host_health.cpp
+++ b/libs/director/src/host_health.cpp
@@ -28,9 +28,10 @@
 
 void note_answer(host_health& health, mono_time sent, mono_time now) noexcept {
     const double sample_ms = std::chrono::duration<double, std::milli>(now - sent).count();
-    health.answer_time_ms = health.answer_time_ms == 0.0
-                                ? sample_ms
-                                : health.answer_time_ms + (sample_ms - health.answer_time_ms) * newest_answer_share;
+    health.answer_time_ms =
+        health.answer_time_ms == 0.0
+            ? sample_ms
+            : health.answer_time_ms + (sample_ms - health.answer_time_ms) * newest_answer_share;
     note_data(health, now);
 }
 
--- a/libs/director/src/peers.cpp
+++ b/libs/director/src/peers.cpp
@@ -34,7 +34,8 @@
 std::vector<std::uint8_t> encode_peer_message(const peer_message& message) {
     json notes = json::array();
     for (const auto& note : message.notes) {
-        notes.push_back({static_cast<std::uint32_t>(note.kind), static_cast<std::uint32_t>(note.tag), note.age_ms});
+        notes.push_back(
+            {static_cast<std::uint32_t>(note.kind), static_cast<std::uint32_t>(note.tag), note.age_ms});
     }
     return json::to_cbor(json::array({message.incarnation, message.sequence, std::move(notes)}));
 }
--- a/libs/director/src/upstreams.cpp
+++ b/libs/director/src/upstreams.cpp
@@ -1,6 +1,5 @@
-#include <guavaramp/director/upstreams.hpp>
-
 #include <guavaramp/base/hash.hpp>
+#include <guavaramp/director/upstreams.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -151,7 +150,8 @@
     for (const auto& report : listing.reports) {
         present.insert(report.id);
         const auto known = directory.by_id.find(report.id);
-        const bool is_newer = known == directory.by_id.end() || report.revision > known->second.report.revision;
+        const bool is_newer =
+            known == directory.by_id.end() || report.revision > known->second.report.revision;
         if (is_newer) {
             return true;
         }
--- a/libs/director/tests/director_fixture.hpp
+++ b/libs/director/tests/director_fixture.hpp
@@ -91,11 +91,8 @@
 
 [[nodiscard]] inline flow_packet acknowledging(const flow_tuple& flow, steering_tag tag,
                                                std::uint32_t acknowledgement = 5001) {
-    return {.flow = flow,
-            .sequence = 1001,
-            .acknowledgement = acknowledgement,
-            .tag = tag,
-            .acknowledges = true};
+    return {
+        .flow = flow, .sequence = 1001, .acknowledgement = acknowledgement, .tag = tag, .acknowledges = true};
 }
 
 [[nodiscard]] inline flow_packet request(const flow_tuple& flow, steering_tag tag,
--- a/libs/director/tests/director_test.cpp
+++ b/libs/director/tests/director_test.cpp
@@ -30,7 +30,8 @@
           decision_reason::no_configuration);
     view.upstreams = nullptr;
     CHECK(decide(state, view, opening(make_flow()), at_ms(0)).reason == decision_reason::no_listing);
-    CHECK(decide(state, view, request(make_flow(), tag_of(1)), at_ms(0)).reason == decision_reason::no_listing);
+    CHECK(decide(state, view, request(make_flow(), tag_of(1)), at_ms(0)).reason ==
+          decision_reason::no_listing);
 }
 
 TEST_CASE("DirectorTest.AnOpenFlowFollowsItsTagAtADirectorThatHasNeverSeenIt") {
@@ -45,43 +46,45 @@
 
 // A property for the platform's rule that a packet of an open flow reaches only the flow's host.
 TEST_CASE("DirectorTest.APacketWithTheTagOfAReachableUpstreamIsForwardedToItWhateverCameBefore") {
-    check_property("tagged packets reach their host", [](const std::vector<std::uint16_t>& steps, std::uint8_t last) {
-        director_state state;
-        const auto view = make_view(make_directory(make_reports(4)));
-        std::int64_t now_ms = 0;
-        for (const auto step : steps) {
-            const auto flow = make_flow(static_cast<std::uint16_t>(100 + step % 5));
-            const auto tag = tag_of(1 + step / 5 % 4);
-            const auto packet = step % 3 == 0 ? opening(flow) : request(flow, tag, 1001 + step);
-            (void)decide(state, view, packet, at_ms(++now_ms));
-        }
-        const auto tag = tag_of(1 + last % 4U);
-        const auto decided = decide(state, view, request(make_flow(1), tag), at_ms(++now_ms));
-        RC_ASSERT(decided.outcome == verdict::forward);
-        RC_ASSERT(decided.tag == tag);
-    });
+    check_property(
+        "tagged packets reach their host", [](const std::vector<std::uint16_t>& steps, std::uint8_t last) {
+            director_state state;
+            const auto view = make_view(make_directory(make_reports(4)));
+            std::int64_t now_ms = 0;
+            for (const auto step : steps) {
+                const auto flow = make_flow(static_cast<std::uint16_t>(100 + step % 5));
+                const auto tag = tag_of(1 + step / 5 % 4);
+                const auto packet = step % 3 == 0 ? opening(flow) : request(flow, tag, 1001 + step);
+                (void)decide(state, view, packet, at_ms(++now_ms));
+            }
+            const auto tag = tag_of(1 + last % 4U);
+            const auto decided = decide(state, view, request(make_flow(1), tag), at_ms(++now_ms));
+            RC_ASSERT(decided.outcome == verdict::forward);
+            RC_ASSERT(decided.tag == tag);
+        });
 }
 
 // A property for the platform's rule that work lands only at services which the route names.
 TEST_CASE("DirectorTest.AnOpeningPacketReachesOnlyReadyUpstreamsOfItsRoute") {
-    check_property("placement respects the route", [](const std::vector<std::uint8_t>& kinds, std::uint16_t port) {
-        std::vector<upstream_report> reports;
-        for (std::size_t index = 0; index < kinds.size(); ++index) {
-            reports.push_back(make_report({.id = "i-" + std::to_string(index),
-                                           .number = index + 1,
-                                           .service = kinds[index] % 2 == 0 ? "workshop" : "archive",
-                                           .phase = upstream_phase(kinds[index] / 2 % 3)}));
-        }
-        director_state state;
-        const auto view = make_view(make_directory(reports));
-        const auto decided = decide(state, view, opening(make_flow(port)), at_ms(0));
-        const bool any = std::any_of(reports.begin(), reports.end(), [](const auto& report) {
-            return report.service == "workshop" && report.phase == upstream_phase::ready;
+    check_property(
+        "placement respects the route", [](const std::vector<std::uint8_t>& kinds, std::uint16_t port) {
+            std::vector<upstream_report> reports;
+            for (std::size_t index = 0; index < kinds.size(); ++index) {
+                reports.push_back(make_report({.id = "i-" + std::to_string(index),
+                                               .number = index + 1,
+                                               .service = kinds[index] % 2 == 0 ? "workshop" : "archive",
+                                               .phase = upstream_phase(kinds[index] / 2 % 3)}));
+            }
+            director_state state;
+            const auto view = make_view(make_directory(reports));
+            const auto decided = decide(state, view, opening(make_flow(port)), at_ms(0));
+            const bool any = std::any_of(reports.begin(), reports.end(), [](const auto& report) {
+                return report.service == "workshop" && report.phase == upstream_phase::ready;
+            });
+            RC_ASSERT((decided.outcome == verdict::forward) == any);
+            RC_ASSERT((!any || decided.target->report.service == "workshop"));
+            RC_ASSERT((!any || decided.target->report.phase == upstream_phase::ready));
         });
-        RC_ASSERT((decided.outcome == verdict::forward) == any);
-        RC_ASSERT((!any || decided.target->report.service == "workshop"));
-        RC_ASSERT((!any || decided.target->report.phase == upstream_phase::ready));
-    });
 }
 
 TEST_CASE("DirectorTest.WithoutAReadyUpstreamAnOpeningPacketIsRefusedAtOnce") {
@@ -134,8 +137,8 @@
 
 // --- A flow with two candidates ---------------------------------------------------------------------------
 
-// Guards against a flow that changes hosts: both hosts have answered, and the caller sends back the tag of the
-// answer that came last.
+// Guards against a flow that changes hosts: both hosts have answered, and the caller sends back the tag of
+// the answer that came last.
 TEST_CASE("DirectorTest.AFlowStaysWithTheHostOfItsFirstAcknowledgementWhenASecondAnswerChangesTheTag") {
     director_state state;
     const auto view = make_view(make_directory(make_reports(2)));
@@ -202,7 +205,8 @@
 }
 
 // Replays the load of a crash: callers open flows at a steady rate while two of five hosts are silent.
-// Guards against callers that wait for their own copy, sent after 200 ms, because of a host known to be silent.
+// Guards against callers that wait for their own copy, sent after 200 ms, because of a host known to be
+// silent.
 TEST_CASE("DirectorTest.AfterTheFirstUnansweredOpeningPacketsNewFlowsAvoidTheSilentHosts") {
     director_state state;
     const auto view = make_view(make_directory(make_reports(5)));
@@ -309,9 +313,9 @@
     CHECK(stalled > 0);
 }
 
-// Guards against resets of living flows. A request whose answer is acknowledged through another director looks
-// unanswered here; the first version of the stall detector reset such flows while directors were restarted
-// (raochan-dn, quiet-1 --vary --seed 310590955328).
+// Guards against resets of living flows. A request whose answer is acknowledged through another director
+// looks unanswered here; the first version of the stall detector reset such flows while directors were
+// restarted (raochan-dn, quiet-1 --vary --seed 310590955328).
 TEST_CASE("DirectorTest.TwoRequestsWhoseFlowsMovedToAnotherDirectorDoNotMakeAHostStalled") {
     director_state state;
     const auto view = make_view(make_directory(make_reports(1)));
@@ -352,7 +356,8 @@
     for (std::size_t index = 0; index < directors; ++index) {
         const auto flow = make_flow(static_cast<std::uint16_t>(index));
         const auto tag = establish(states[index], view, flow, at_ms(0));
-        (void)decide(states[index], view, request(flow, tag), at_ms(100 + 70 * static_cast<std::int64_t>(index)));
+        (void)decide(states[index], view, request(flow, tag),
+                     at_ms(100 + 70 * static_cast<std::int64_t>(index)));
     }
     std::size_t concluded = 0;
     for (std::int64_t now_ms = 100; now_ms <= 1100; now_ms += 5) {
@@ -362,7 +367,8 @@
             for (const auto& note : due.notes) {
                 for (std::size_t receiver = 0; receiver < directors; ++receiver) {
                     if (receiver != sender) {
-                        CHECK_FALSE(receive_note(states[receiver], view, note, at_ms(now_ms)).reply.has_value());
+                        CHECK_FALSE(
+                            receive_note(states[receiver], view, note, at_ms(now_ms)).reply.has_value());
                     }
                 }
             }
@@ -386,8 +392,8 @@
     director_state state;
     const auto view = make_view(make_directory(make_reports(1)));
     for (const std::uint32_t age_ms : {900U, 800U, 700U}) {
-        (void)receive_note(state, view,
-                           {.kind = host_note_kind::overdue, .tag = tag_of(1), .age_ms = age_ms}, at_ms(1000));
+        (void)receive_note(state, view, {.kind = host_note_kind::overdue, .tag = tag_of(1), .age_ms = age_ms},
+                           at_ms(1000));
     }
     CHECK(health_of(state, tag_of(1)).overdue_requests == 3);
     const host_note objection{.kind = host_note_kind::answered, .tag = tag_of(1), .age_ms = 20};
--- a/libs/director/tests/peers_test.cpp
+++ b/libs/director/tests/peers_test.cpp
@@ -37,8 +37,8 @@
 }
 
 TEST_CASE("PeersTest.AnEntryThatIsNoDirectorsIsMalformed") {
-    for (const auto* text : {"", "{}", R"({"address":"x","failure_domain":"c"})", R"({"address":"1.2.3.4:5"})",
-                             R"({"address":3,"failure_domain":"c"})"}) {
+    for (const auto* text : {"", "{}", R"({"address":"x","failure_domain":"c"})",
+                             R"({"address":"1.2.3.4:5"})", R"({"address":3,"failure_domain":"c"})"}) {
         CAPTURE(text);
         CHECK(decode_director_entry(text).error().kind == error_kind::malformed);
     }
--- a/libs/director/tests/routes_test.cpp
+++ b/libs/director/tests/routes_test.cpp
@@ -34,7 +34,8 @@
     std::map<std::string, int> drawn;
     constexpr int flows = 10'000;
     for (std::uint32_t number = 0; number < flows; ++number) {
-        const flow_tuple flow{.caller_address = number, .service_address = 1, .caller_port = 9, .service_port = 2};
+        const flow_tuple flow{
+            .caller_address = number, .service_address = 1, .caller_port = 9, .service_port = 2};
         ++drawn[*services_in_order(split, hash_of(flow)).front()];
     }
     CHECK(drawn["archive"] > flows * 8 / 100);
@@ -51,7 +52,8 @@
 
 TEST_CASE("RoutesTest.ARouteIsFoundByAddressAndPort") {
     const auto table = make_route_table({.version = 3, .routes = {make_split_route(1, 1)}});
-    const flow_tuple matching{.caller_address = 1, .service_address = 0xc6120001, .caller_port = 2, .service_port = 8443};
+    const flow_tuple matching{
+        .caller_address = 1, .service_address = 0xc6120001, .caller_port = 2, .service_port = 8443};
     auto other_port = matching;
     other_port.service_port = 8080;
     auto other_address = matching;
--- a/libs/director/tests/upstreams_test.cpp
+++ b/libs/director/tests/upstreams_test.cpp
@@ -13,7 +13,8 @@
 
 std::vector<upstream_change> list(upstream_directory& directory, std::uint64_t revision,
                                   std::vector<upstream_report> reports, std::int64_t now_ms = 0) {
-    return apply_listing(directory, {.revision = revision, .reports = std::move(reports)}, at_ms(now_ms), keep_all);
+    return apply_listing(directory, {.revision = revision, .reports = std::move(reports)}, at_ms(now_ms),
+                         keep_all);
 }
 
 TEST_CASE("UpstreamsTest.AnIdOfUpTo32BitsIsItsOwnTag") {
@@ -129,7 +130,8 @@
 TEST_CASE("UpstreamsTest.NewsLeaveUpstreamsAloneThatTheyDoNotName") {
     upstream_directory directory;
     (void)list(directory, 30, make_reports(3));
-    (void)apply_news(directory, {.revision = 31, .removed = {{.id = "i-2", .revision = 31}}}, at_ms(0), keep_all);
+    (void)apply_news(directory, {.revision = 31, .removed = {{.id = "i-2", .revision = 31}}}, at_ms(0),
+                     keep_all);
     CHECK(directory.by_id.at("i-1").listed);
     CHECK_FALSE(directory.by_id.at("i-2").listed);
     CHECK(directory.by_id.at("i-3").listed);
@@ -144,7 +146,8 @@
     };
     CHECK_FALSE(shows(100, {make_report({.revision = 20})}));
     CHECK(shows(100, {make_report({.phase = upstream_phase::draining, .revision = 21})}));
-    CHECK(shows(100, {make_report({.revision = 20}), make_report({.id = "i-2", .number = 2, .revision = 22})}));
+    CHECK(
+        shows(100, {make_report({.revision = 20}), make_report({.id = "i-2", .number = 2, .revision = 22})}));
     CHECK(shows(100, {}));
 }
 
@@ -161,8 +164,8 @@
         std::uint64_t newest = 0;
         for (const auto revision : revisions) {
             const std::uint64_t at = revision + 1U;
-            (void)apply_news(directory, {.revision = at, .reports = {make_report({.revision = at})}}, at_ms(0),
-                             keep_all);
+            (void)apply_news(directory, {.revision = at, .reports = {make_report({.revision = at})}},
+                             at_ms(0), keep_all);
             newest = std::max(newest, at);
         }
         RC_ASSERT((revisions.empty() || directory.by_id.at("i-0001").report.revision == newest));
--- a/libs/net/include/guavaramp/net/tcp_probe.hpp
+++ b/libs/net/include/guavaramp/net/tcp_probe.hpp
@@ -25,8 +25,8 @@
     mono_time started{};
 };
 
-/// TCP connection attempts that show whether something listens at an address. A connection is closed as soon as
-/// it stands; no byte is sent. Not thread-safe: one thread owns the set.
+/// TCP connection attempts that show whether something listens at an address. A connection is closed as soon
+/// as it stands; no byte is sent. Not thread-safe: one thread owns the set.
 class tcp_probes {
 public:
     tcp_probes() = default;
@@ -40,8 +40,8 @@
     /// Appends the sockets to wait for.
     void add_to_poll(std::vector<pollfd>& polled) const;
 
-    /// The earliest time at which `collect` has something to do without a ready socket; `otherwise` when there
-    /// is none.
+    /// The earliest time at which `collect` has something to do without a ready socket; `otherwise` when
+    /// there is none.
     [[nodiscard]] mono_time next_deadline(mono_time otherwise) const;
 
     /// Ends the probes that have an outcome, and starts second attempts that are due.
--- a/libs/net/src/attached_http_server.cpp
+++ b/libs/net/src/attached_http_server.cpp
@@ -1,7 +1,7 @@
-#include <guavaramp/net/attached_http_server.hpp>
-
 #include "http_server_internal.hpp"
 
+#include <guavaramp/net/attached_http_server.hpp>
+
 namespace guavaramp {
 namespace {
 
@@ -11,8 +11,7 @@
 public:
     attached_server(asio::io_context& context, restinio::server_settings_t<plain_traits> settings,
                     std::shared_ptr<pending_requests> pending)
-        : pending_(std::move(pending)),
-          server_(restinio::external_io_context(context), std::move(settings)) {
+        : pending_(std::move(pending)), server_(restinio::external_io_context(context), std::move(settings)) {
         server_.open_sync();
     }
 
--- a/libs/net/src/http_server_internal.hpp
+++ b/libs/net/src/http_server_internal.hpp
@@ -129,7 +129,7 @@
 };
 
 inline http_responder make_responder(const std::shared_ptr<pending_requests>& owner,
-                              restinio::request_handle_t request) {
+                                     restinio::request_handle_t request) {
     auto pending = std::make_shared<pending_request>(owner, std::move(request));
     return [pending](const http_response& response) { pending->respond(response); };
 }
--- a/libs/net/src/http_session.cpp
+++ b/libs/net/src/http_session.cpp
@@ -15,8 +15,8 @@
 constexpr std::size_t max_answer_bytes = 4U << 20U;
 constexpr std::size_t read_chunk_bytes = 8192;
 
-// A connection can go silent for good while new ones work. Its keep-alive probes show that within two seconds,
-// so that a call that waits long for its answer does not hang.
+// A connection can go silent for good while new ones work. Its keep-alive probes show that within two
+// seconds, so that a call that waits long for its answer does not hang.
 constexpr int keep_alive_idle_s = 1;
 constexpr int keep_alive_interval_s = 1;
 constexpr int keep_alive_probes = 2;
@@ -32,8 +32,7 @@
 }  // namespace
 
 struct http_session::state : std::enable_shared_from_this<state> {
-    state(asio::io_context& context, const endpoint& remote)
-        : peer(remote), socket(context), timer(context) {
+    state(asio::io_context& context, const endpoint& remote) : peer(remote), socket(context), timer(context) {
         http_parser_settings_init(&callbacks);
         callbacks.on_body = [](http_parser* source, const char* at, std::size_t length) {
             auto& body = static_cast<state*>(source->data)->answer.body;
@@ -68,20 +67,20 @@
     }
 
     void connect() {
-        socket.async_connect(to_asio(peer), [self = shared_from_this(), number = call](
-                                                const std::error_code& failure) {
-            if (self->call != number || !self->done) {
-                return;
-            }
-            if (failure) {
-                self->finish(fail(error_kind::unavailable,
-                                  "cannot connect to " + to_string(self->peer) + ": " + failure.message()));
-                return;
-            }
-            self->connected = true;
-            self->set_options();
-            self->write();
-        });
+        socket.async_connect(
+            to_asio(peer), [self = shared_from_this(), number = call](const std::error_code& failure) {
+                if (self->call != number || !self->done) {
+                    return;
+                }
+                if (failure) {
+                    self->finish(fail(error_kind::unavailable, "cannot connect to " + to_string(self->peer) +
+                                                                   ": " + failure.message()));
+                    return;
+                }
+                self->connected = true;
+                self->set_options();
+                self->write();
+            });
     }
 
     /// Options that only improve latency and detection; the call works without them.
@@ -98,24 +97,24 @@
     }
 
     void write() {
-        asio::async_write(socket, asio::buffer(request),
-                          [self = shared_from_this(), number = call](const std::error_code& failure,
-                                                                     std::size_t /*sent*/) {
-                              if (self->call != number || !self->done) {
-                                  return;
-                              }
-                              if (failure) {
-                                  self->finish_broken(failure);
-                              } else {
-                                  self->read();
-                              }
-                          });
+        asio::async_write(
+            socket, asio::buffer(request),
+            [self = shared_from_this(), number = call](const std::error_code& failure, std::size_t /*sent*/) {
+                if (self->call != number || !self->done) {
+                    return;
+                }
+                if (failure) {
+                    self->finish_broken(failure);
+                } else {
+                    self->read();
+                }
+            });
     }
 
     void read() {
         socket.async_read_some(
-            asio::buffer(chunk), [self = shared_from_this(), number = call](const std::error_code& failure,
-                                                                            std::size_t received) {
+            asio::buffer(chunk),
+            [self = shared_from_this(), number = call](const std::error_code& failure, std::size_t received) {
                 if (self->call != number || !self->done) {
                     return;
                 }
@@ -197,8 +196,8 @@
 void http_session::post(const std::string& target, const std::string& body, mono_time deadline,
                         handler done) {
     state_->start("POST " + target + " HTTP/1.1\r\nHost: " + to_string(state_->peer) +
-                      "\r\nContent-Type: application/json\r\nContent-Length: " +
-                      std::to_string(body.size()) + "\r\n\r\n" + body,
+                      "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+                      "\r\n\r\n" + body,
                   deadline, std::move(done));
 }
 
--- a/libs/net/src/tcp_probe.cpp
+++ b/libs/net/src/tcp_probe.cpp
@@ -1,7 +1,7 @@
-#include <guavaramp/net/tcp_probe.hpp>
-
 #include "socket_address.hpp"
 
+#include <guavaramp/net/tcp_probe.hpp>
+
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -109,7 +109,8 @@
     std::vector<finished_probe> finished;
     std::erase_if(running_, [now, &finished](attempt& probe) {
         auto outcome = check_socket(probe.first);
-        if (const auto second = check_socket(probe.second); !outcome || second == connect_outcome::connected) {
+        if (const auto second = check_socket(probe.second);
+            !outcome || second == connect_outcome::connected) {
             outcome = second ? second : outcome;
         }
         if (probe.refused) {
--- a/libs/net/src/udp_socket.cpp
+++ b/libs/net/src/udp_socket.cpp
@@ -1,7 +1,7 @@
-#include <guavaramp/net/udp_socket.hpp>
-
 #include "socket_address.hpp"
 
+#include <guavaramp/net/udp_socket.hpp>
+
 #include <arpa/inet.h>
 #include <poll.h>
 #include <sys/socket.h>
--- a/libs/net/tests/http_session_test.cpp
+++ b/libs/net/tests/http_session_test.cpp
@@ -42,13 +42,14 @@
 
     static void answer(const std::shared_ptr<tcp::socket>& socket, const std::string& text) {
         auto buffer = std::make_shared<std::string>(4096, '\0');
-        socket->async_read_some(asio::buffer(*buffer), [socket, buffer, text](const std::error_code& failure, std::size_t) {
-            if (failure || text.empty()) {
-                return;
-            }
-            asio::write(*socket, asio::buffer(text));
-            answer(socket, text);
-        });
+        socket->async_read_some(asio::buffer(*buffer),
+                                [socket, buffer, text](const std::error_code& failure, std::size_t) {
+                                    if (failure || text.empty()) {
+                                        return;
+                                    }
+                                    asio::write(*socket, asio::buffer(text));
+                                    answer(socket, text);
+                                });
     }
 
     [[nodiscard]] endpoint local() const {
@@ -62,7 +63,8 @@
 
 result<http_response> run_get(asio::io_context& io, http_session& session, int deadline_ms = 2000) {
     std::optional<result<http_response>> outcome;
-    session.get("/x", after_ms(deadline_ms), [&outcome](result<http_response> ended) { outcome = std::move(ended); });
+    session.get("/x", after_ms(deadline_ms),
+                [&outcome](result<http_response> ended) { outcome = std::move(ended); });
     while (!outcome) {
         io.run_one();
     }
@@ -124,8 +126,8 @@
         asio::write(accepted, asio::buffer(std::string{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"}));
         accepted.shutdown(tcp::socket::shutdown_send);
     });
-    http_session session{
-        io, {.address = from_ipv4(INADDR_LOOPBACK), .port = acceptor.local_endpoint().port()}};
+    http_session session{io,
+                         {.address = from_ipv4(INADDR_LOOPBACK), .port = acceptor.local_endpoint().port()}};
     CHECK(run_get(io, session).error().kind == error_kind::unavailable);
 }
 
@@ -135,9 +137,9 @@
     tcp::acceptor chooser{io, tcp::endpoint{asio::ip::address_v4::loopback(), 0}};
     const endpoint local{.address = from_ipv4(INADDR_LOOPBACK), .port = chooser.local_endpoint().port()};
     chooser.close();
-    auto server = attach_http_server(io, {.local = local}, [](const http_request& request, const http_responder& respond) {
-        respond({.body = request.path});
-    });
+    auto server = attach_http_server(
+        io, {.local = local},
+        [](const http_request& request, const http_responder& respond) { respond({.body = request.path}); });
     REQUIRE(server.has_value());
     http_session session{io, local};
     CHECK(run_get(io, session)->body == "/x");
--- a/libs/net/tests/tcp_probe_test.cpp
+++ b/libs/net/tests/tcp_probe_test.cpp
@@ -1,8 +1,7 @@
 #include <guavaramp/net/tcp_probe.hpp>
 
-#include <doctest/doctest.h>
-
 #include <arpa/inet.h>
+#include <doctest/doctest.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
