--- a/libs/director/src/director.cpp
+++ b/libs/director/src/director.cpp
@@ -146,7 +146,7 @@
         return drop(decision_reason::unknown_tag_unconfirmed);
     }
     const auto first_seen = state.unexplained_tags.try_emplace(key, now).first->second;
-    const bool confirmed = view.listing_as_of > first_seen && now >= settled_at(view, first_seen);
+    const bool confirmed = view.listing_as_of > first_seen && now >= settled_at(view, view.steady_since);
     if (!confirmed) {
         return drop(decision_reason::unknown_tag_unconfirmed);
     }
