Count a probe's silence only when a reference has been answered; add the fault soak

Change: a probe that is still open after 25 ms also connects to the upstream that answered last; silence counts after 80 ms when that has connected, after 600 ms otherwise. Configurations are watched at most once a second, and checked the less often the larger they are. scripts/soak runs real directors against stand-ins that speak the platform's protocol, with signals, host faults, store faults and a proxy for the store's connections.

--- a/apps/director/packet_duty.cpp
+++ b/apps/director/packet_duty.cpp
@@ -42,6 +42,10 @@
     return probe_outcome::silent;
 }
 
+endpoint endpoint_of(const known_upstream& upstream) {
+    return {.address = from_ipv4(upstream.report.address), .port = upstream.report.port};
+}
+
 /// Whether a decision gets a log line: everything but a packet that goes where the one before it went.
 bool is_logged(const decision& decided, const std::array<char, 40>& request_id) noexcept {
     return decided.reason != decision_reason::known_flow || request_id[0] != '\0';
@@ -207,8 +211,9 @@
     void start_probe(const known_upstream& target, mono_time time) {
         const auto tag = tag_of(target.report.delivery_id);
         note_probe_started(health_of(state_, tag), time);
-        probes_.start(static_cast<std::uint32_t>(tag),
-                      {.address = from_ipv4(target.report.address), .port = target.report.port}, time);
+        const auto* reference = reference_for(state_, *view_, tag, time);
+        probes_.start(static_cast<std::uint32_t>(tag), endpoint_of(target),
+                      reference == nullptr ? std::nullopt : std::optional{endpoint_of(*reference)}, time);
         probes_started_.add();
     }
 
--- a/apps/director/store_reader.cpp
+++ b/apps/director/store_reader.cpp
@@ -103,7 +103,8 @@
         const bool is_configuration = subject == store_subject::configuration;
         next_check_ = is_configuration ? store_subject::listing : store_subject::configuration;
         // Before the first whole reading there is nothing to check, and after a failure one follows anyway.
-        if (sync_of(sync_, subject).read_whole) {
+        const bool too_early = is_configuration && now() < configuration_check_at_;
+        if (sync_of(sync_, subject).read_whole || too_early) {
             check_next();
             return;
         }
@@ -119,6 +120,7 @@
 
 void store_reader::check_configuration(const result<http_response>& answer) {
     const auto item = decode_answer(answer, decode_item);
+    configuration_check_at_ = next_check_at(answer ? answer->body.size() : 0, now());
     check_ended(store_subject::configuration, item && item->revision > configuration_revision_);
 }
 
--- a/apps/director/store_reader.hpp
+++ b/apps/director/store_reader.hpp
@@ -64,6 +64,7 @@
     asio::steady_timer check_timer_;
     http_session check_session_;
     store_subject next_check_{store_subject::configuration};
+    mono_time configuration_check_at_{};  ///< not before; large ones are checked less often
     store_sync sync_;
     upstream_directory directory_;
     upstream_listing pages_;  ///< of the whole reading in progress
--- a/libs/director/include/guavaramp/director/director.hpp
+++ b/libs/director/include/guavaramp/director/director.hpp
@@ -166,6 +166,11 @@
 /// The health record of the upstream behind `tag`. Not thread-safe.
 [[nodiscard]] host_health& health_of(director_state& state, steering_tag tag);
 
+/// The upstream, other than that of `suspect`, that was seen to answer last, within a second; or null. A
+/// probe of it shows that silence is not the fault of this machine. Not thread-safe.
+[[nodiscard]] const known_upstream* reference_for(const director_state& state, const fleet_view& view,
+                                                  steering_tag suspect, mono_time now);
+
 /// The listed upstreams whose last probe failed and whose next one is due. Not thread-safe.
 [[nodiscard]] std::vector<steering_tag> due_probes(const director_state& state, const fleet_view& view,
                                                    mono_time now);
--- a/libs/director/include/guavaramp/director/store_sync.hpp
+++ b/libs/director/include/guavaramp/director/store_sync.hpp
@@ -19,8 +19,9 @@
 /// How long the store may hold back its answer when nothing has changed. Each answer is a call that is paid
 /// for; a connection that has gone silent is found by its keep-alive probes and not by this wait.
 inline constexpr auto watch_wait = std::chrono::milliseconds{20000};
-/// Least time between two watches of the configuration: bounds the calls that a series of changes causes.
-inline constexpr auto least_configuration_period = std::chrono::milliseconds{200};
+/// Least time between two watches of the configuration: bounds the calls and the bytes that a series of
+/// changes causes. A third of the 3 s in which a change must be in force.
+inline constexpr auto least_configuration_period = std::chrono::milliseconds{1000};
 /// The same for the listing. Half of the 3 s in which a drain must be in force; the other half is for a
 /// reading that fails.
 inline constexpr auto least_listing_period = std::chrono::milliseconds{1500};
@@ -28,6 +29,9 @@
 /// change without an error when the store drops its history, or wait on a connection that brings nothing
 /// more. With it a missed change is found within half of the 3 s in which a drain must be in force.
 inline constexpr auto check_period = std::chrono::milliseconds{750};
+/// Bytes a second that checks of the configuration may take: half a per cent of the slowest link, 10 Mbit/s,
+/// and in the order of the budget for control.
+inline constexpr std::int64_t check_bytes_per_s = 48'000;
 /// First wait after a reading that failed; doubles up to `longest_retry_wait`.
 inline constexpr auto retry_wait = std::chrono::milliseconds{100};
 inline constexpr auto longest_retry_wait = std::chrono::milliseconds{500};
@@ -78,6 +82,9 @@
 /// Not thread-safe.
 void want_whole(store_sync& sync, store_subject subject, mono_time now) noexcept;
 
+/// When a subject may be checked next, after a check whose answer had `bytes`. Thread-safe.
+[[nodiscard]] mono_time next_check_at(std::size_t bytes, mono_time now) noexcept;
+
 /// The earliest time at which a reading is due. Not thread-safe.
 [[nodiscard]] mono_time next_reading_at(const store_sync& sync) noexcept;
 
--- a/libs/director/src/director.cpp
+++ b/libs/director/src/director.cpp
@@ -27,6 +27,8 @@
 constexpr auto overdue_after = std::chrono::milliseconds{400};
 /// Time for other directors to object that a host answers them: ten round trips inside a failure domain.
 constexpr auto objection_time = std::chrono::milliseconds{50};
+/// How long ago an upstream may have answered to serve as a probe's reference.
+constexpr auto reference_validity = std::chrono::milliseconds{1000};
 /// Opening packets and requests that are waited for; beyond this only the callers' repeats are evidence.
 constexpr std::size_t max_pending = 8192;
 /// Idle time after which a flow is forgotten when the configuration says nothing.
@@ -478,6 +480,23 @@
     return state.health[static_cast<std::uint32_t>(tag)];
 }
 
+const known_upstream* reference_for(const director_state& state, const fleet_view& view, steering_tag suspect,
+                                    mono_time now) {
+    const known_upstream* best = nullptr;
+    auto best_progress = now - reference_validity;
+    for (const auto& [tag, health] : state.health) {
+        if (steering_tag{tag} == suspect || health.unreachable || health.last_progress < best_progress) {
+            continue;
+        }
+        const auto* known = find_by_tag(*view.upstreams, steering_tag{tag});
+        if (known != nullptr && known->listed) {
+            best = known;
+            best_progress = health.last_progress;
+        }
+    }
+    return best;
+}
+
 std::vector<steering_tag> due_probes(const director_state& state, const fleet_view& view, mono_time now) {
     std::vector<steering_tag> due;
     if (view.upstreams == nullptr) {
--- a/libs/director/src/store_sync.cpp
+++ b/libs/director/src/store_sync.cpp
@@ -1,6 +1,7 @@
 #include <guavaramp/director/store_sync.hpp>
 
 #include <algorithm>
+#include <ratio>
 
 namespace guavaramp {
 namespace {
@@ -65,6 +66,12 @@
     state.next_at = now;
 }
 
+mono_time next_check_at(std::size_t bytes, mono_time now) noexcept {
+    const auto pause =
+        std::chrono::milliseconds{static_cast<std::int64_t>(bytes) * std::milli::den / check_bytes_per_s};
+    return now + std::max<std::chrono::milliseconds>(pause, store_subjects * check_period);
+}
+
 mono_time next_reading_at(const store_sync& sync) noexcept {
     mono_time earliest = mono_time::max();
     for (const auto& state : sync.subjects) {
--- a/libs/director/tests/director_test.cpp
+++ b/libs/director/tests/director_test.cpp
@@ -423,6 +423,21 @@
     CHECK(state.health.empty());
 }
 
+TEST_CASE("DirectorTest.AProbesReferenceIsTheOtherUpstreamThatAnsweredLast") {
+    director_state state;
+    const auto view = make_view(make_directory(make_reports(4)));
+    CHECK(reference_for(state, view, tag_of(1), at_ms(2000)) == nullptr);
+    note_progress(health_of(state, tag_of(1)), at_ms(1990));
+    note_progress(health_of(state, tag_of(2)), at_ms(1900));
+    note_progress(health_of(state, tag_of(3)), at_ms(1950));
+    note_progress(health_of(state, tag_of(4)), at_ms(900));
+    REQUIRE(reference_for(state, view, tag_of(1), at_ms(2000)) != nullptr);
+    CHECK(reference_for(state, view, tag_of(1), at_ms(2000))->report.id == "i-3");
+    health_of(state, tag_of(3)).unreachable = true;
+    CHECK(reference_for(state, view, tag_of(1), at_ms(2000))->report.id == "i-2");
+    CHECK(reference_for(state, view, tag_of(1), at_ms(3000)) == nullptr);
+}
+
 TEST_CASE("DirectorTest.WhenAHostBecomesUnreachableAllItsFlowsAreGivenUpAndNoOthers") {
     director_state state;
     const auto view = make_view(make_directory(make_reports(2)));
@@ -486,8 +501,8 @@
     CHECK(decide(state, view, packet, at_ms(9001)).reason == decision_reason::unknown_tag);
 }
 
-// Guards against resets of flows of hosts that lapsed while the store was away, at a director that started after
-// its return.
+// Guards against resets of flows of hosts that lapsed while the store was away, at a director that started
+// after its return.
 TEST_CASE("DirectorTest.AnUnknownTagIsNotResetBeforeTheListHasSettled") {
     director_state state;
     auto view = make_view(make_directory(make_reports(1)));
--- a/libs/director/tests/store_sync_test.cpp
+++ b/libs/director/tests/store_sync_test.cpp
@@ -85,6 +85,12 @@
     CHECK_FALSE(note_read_failure(sync, store_subject::listing, at_ms(700)));
 }
 
+// Guards against checks of a configuration with many routes that fill a slow machine's link.
+TEST_CASE("StoreSyncTest.ALargeConfigurationIsCheckedLessOften") {
+    CHECK(next_check_at(20'000, at_ms(0)) == at_ms(1500));
+    CHECK(next_check_at(480'000, at_ms(0)) == at_ms(10'000));
+}
+
 TEST_CASE("StoreSyncTest.AnAbsentConfigurationIsReadAgainAndIsNoFailure") {
     store_sync sync;
     (void)start(sync, store_subject::configuration, 0);
--- a/libs/net/include/guavaramp/net/tcp_probe.hpp
+++ b/libs/net/include/guavaramp/net/tcp_probe.hpp
@@ -5,14 +5,19 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 struct pollfd;
 
 namespace guavaramp {
 
-/// When a probe without an answer has failed. Twenty round trips between failure domains.
+/// When a probe without an answer has failed, provided that its reference has connected. Twenty round trips
+/// between failure domains.
 inline constexpr auto probe_timeout = std::chrono::milliseconds{80};
+/// When a probe without an answer has failed although its reference, or the lack of one, shows nothing:
+/// packets may have to wait this long at this machine's own link while it is busy.
+inline constexpr auto probe_longest_time = std::chrono::milliseconds{600};
 /// When a second connection attempt starts beside the first, so that one lost packet does not fail a probe.
 inline constexpr auto probe_second_attempt_after = std::chrono::milliseconds{25};
 
@@ -34,8 +39,10 @@
     tcp_probes(const tcp_probes&) = delete;
     tcp_probes& operator=(const tcp_probes&) = delete;
 
-    /// Starts a probe of `target`; `key` comes back with its result.
-    void start(std::uint32_t key, const endpoint& target, mono_time now);
+    /// Starts a probe of `target`; `key` comes back with its result. `reference` is an address that has
+    /// answered lately, if there is one.
+    void start(std::uint32_t key, const endpoint& target, const std::optional<endpoint>& reference,
+               mono_time now);
 
     /// Appends the sockets to wait for.
     void add_to_poll(std::vector<pollfd>& polled) const;
@@ -51,12 +58,17 @@
     struct attempt {
         std::uint32_t key{0};
         endpoint target;
+        std::optional<endpoint> reference;
         mono_time started{};
         int first{-1};
         int second{-1};
+        int reference_socket{-1};
         bool refused{false};
+        bool reference_answered{false};
     };
 
+    static void start_second_attempts(attempt& probe);
+
     std::vector<attempt> running_;
 };
 
--- a/libs/net/src/tcp_probe.cpp
+++ b/libs/net/src/tcp_probe.cpp
@@ -69,19 +69,30 @@
     return outcome_of(failure);
 }
 
+/// Time from a probe's start to when it has something to do without a ready socket.
+std::chrono::milliseconds next_wait(bool second_started, bool reference_answered) noexcept {
+    if (!second_started) {
+        return probe_second_attempt_after;
+    }
+    return reference_answered ? probe_timeout : probe_longest_time;
+}
+
 }  // namespace
 
 tcp_probes::~tcp_probes() {
     for (auto& probe : running_) {
         close_socket(probe.first);
         close_socket(probe.second);
+        close_socket(probe.reference_socket);
     }
 }
 
-void tcp_probes::start(std::uint32_t key, const endpoint& target, mono_time now) {
+void tcp_probes::start(std::uint32_t key, const endpoint& target, const std::optional<endpoint>& reference,
+                       mono_time now) {
     const auto opened = open_socket(target);
     running_.push_back({.key = key,
                         .target = target,
+                        .reference = reference,
                         .started = now,
                         .first = opened.handle,
                         .refused = opened.outcome == connect_outcome::refused});
@@ -89,7 +100,7 @@
 
 void tcp_probes::add_to_poll(std::vector<pollfd>& polled) const {
     for (const auto& probe : running_) {
-        for (const int handle : {probe.first, probe.second}) {
+        for (const int handle : {probe.first, probe.second, probe.reference_socket}) {
             if (handle >= 0) {
                 polled.push_back({.fd = handle, .events = POLLOUT, .revents = 0});
             }
@@ -99,12 +110,23 @@
 
 mono_time tcp_probes::next_deadline(mono_time otherwise) const {
     for (const auto& probe : running_) {
-        const auto wait = probe.second < 0 ? probe_second_attempt_after : probe_timeout;
-        otherwise = std::min(otherwise, probe.started + wait);
+        otherwise =
+            std::min(otherwise, probe.started + next_wait(probe.second >= 0, probe.reference_answered));
     }
     return otherwise;
 }
 
+void tcp_probes::start_second_attempts(attempt& probe) {
+    const auto opened = open_socket(probe.target);
+    probe.second = opened.handle;
+    probe.refused = opened.outcome == connect_outcome::refused;
+    if (probe.reference) {
+        const auto reference = open_socket(*probe.reference);
+        probe.reference_socket = reference.handle;
+        probe.reference_answered = reference.outcome.has_value();
+    }
+}
+
 std::vector<finished_probe> tcp_probes::collect(mono_time now) {
     std::vector<finished_probe> finished;
     std::erase_if(running_, [now, &finished](attempt& probe) {
@@ -116,19 +138,24 @@
         if (probe.refused) {
             outcome = connect_outcome::refused;
         }
-        if (!outcome && now >= probe.started + probe_timeout) {
+        // Any outcome of the reference shows that packets of the same age come through.
+        if (!probe.reference_answered && check_socket(probe.reference_socket)) {
+            probe.reference_answered = true;
+            close_socket(probe.reference_socket);
+        }
+        const auto limit = probe.reference_answered ? probe_timeout : probe_longest_time;
+        if (!outcome && now >= probe.started + limit) {
             outcome = connect_outcome::silent;
         }
         if (!outcome) {
             if (probe.second < 0 && now >= probe.started + probe_second_attempt_after) {
-                const auto opened = open_socket(probe.target);
-                probe.second = opened.handle;
-                probe.refused = opened.outcome == connect_outcome::refused;
+                start_second_attempts(probe);
             }
             return false;
         }
         close_socket(probe.first);
         close_socket(probe.second);
+        close_socket(probe.reference_socket);
         finished.push_back({.key = probe.key, .outcome = *outcome, .started = probe.started});
         return true;
     });
--- /dev/null
+++ b/scripts/soak_stand_ins.py
@@ -0,0 +1,423 @@
+"""Stand-ins and checks of scripts/soak: callers, routers, hosts and the platform's store in one process, directors
+as real processes behind a loopback proxy for their connections to the store."""
+import asyncio
+import base64
+import json
+import os
+import random
+import signal
+import struct
+import subprocess
+import time
+import zlib
+
+HEADER = struct.Struct(">III B 3x H I I HH I")
+SYN, ACK, FIN, RST = 32, 64, 2, 128
+PACKET_PORT, READY_PORT, METRICS_PORT, PEER_PORT, STORE_PORT = 8172, 8167, 9402, 7720, 8169
+SERVICE_ADDRESS = "198.18.0.1"
+WORKSHOP_PORT, ARCHIVE_PORT, LATE_PORT = 8443, 443, 8500
+REPEAT_TIMES = (0.2, 0.6)  # copies of an opening packet
+OPEN_LIMIT_S = 1.4
+# A disturbance excuses what happens until this long after its end.
+STABLE_S = 4.0
+# A drain or a configuration must be in force this long after the store has accepted it.
+DRAIN_S = CONFIG_S = 3.0
+
+
+def ip_number(text):
+    return struct.unpack(">I", bytes(map(int, text.split("."))))[0]
+
+
+def checksum(seq, ack, flags, dst, sport, dport, src, payload):
+    return zlib.crc32(struct.pack(">IIBIHHI", seq, ack, flags, dst, sport, dport, src) + payload)
+
+
+def pack(seq, ack, flags, echo, dst, sport, dport, src, payload=b""):
+    total = checksum(seq, ack, flags, dst, sport, dport, src, payload)
+    return HEADER.pack(seq, ack, total, flags, len(payload), echo, dst, sport, dport, src) + payload
+
+
+class Packet:
+    def __init__(self, data):
+        (self.seq, self.ack, self.sum, self.flags, self.length, self.echo, self.dst, self.sport, self.dport,
+         self.src) = HEADER.unpack_from(data)
+        self.payload = data[HEADER.size:]
+
+    def intact(self):
+        return self.sum == checksum(self.seq, self.ack, self.flags, self.dst, self.sport, self.dport, self.src,
+                                    self.payload)
+
+
+class Disturbed:
+    """Whether something is or was disturbed within STABLE_S."""
+
+    def __init__(self):
+        self.active = 0
+        self.ended = -1e9
+
+    def begin(self):
+        self.active += 1
+
+    def end(self):
+        self.active -= 1
+        self.ended = time.monotonic()
+
+    def now(self):
+        return self.active > 0 or time.monotonic() - self.ended < STABLE_S
+
+
+class Store:
+    """The platform's store: items, leases, watches, and faults that the soak switches on."""
+
+    def __init__(self):
+        self.revision, self.items, self.history, self.leases = 1, {}, [], {}
+        self.changed = asyncio.Event()
+        self.mode, self.delay_s, self.muted = "ok", 0.004, False
+        self.disturbed = Disturbed()
+
+    def put(self, key, value, lease=0):
+        self.revision += 1
+        created = self.items[key]["create-rev"] if key in self.items else self.revision
+        self.items[key] = {"key": key, "value": base64.b64encode(value).decode(), "rev": self.revision,
+                           "create-rev": created, "lease": lease}
+        self.history.append(self.items[key])
+        self.wake()
+
+    def delete(self, key):
+        if self.items.pop(key, None):
+            self.revision += 1
+            self.history.append({"key": key, "rev": self.revision, "deleted": True})
+            self.wake()
+
+    def wake(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def answer(self, method, path, query, body):
+        if path == "/v1/kv-key":
+            item = self.items.get(query["key"])
+            return (200, {**item, "current-rev": self.revision}) if item else (404, {})
+        if path == "/v1/kv-range":
+            items = [item for key, item in sorted(self.items.items())
+                     if key.startswith(query["prefix"]) and key > query.get("after", "")]
+            return 200, {"items": items[:20], "has-more": len(items) > 20, "current-rev": self.revision}
+        if path == "/v1/kv-watch":
+            return await self.watch(query["prefix"], int(query["after"]), int(query["wait-ms"]) / 1000)
+        if path == "/v1/kv-lease":
+            self.leases[self.revision + 70000] = time.monotonic() + body["ttl-ms"] / 1000
+            return 200, {"lease": self.revision + 70000, "ttl-ms": body["ttl-ms"]}
+        if path.startswith("/v1/kv-keep/"):
+            known = int(path.rsplit("/", 1)[1]) in self.leases
+            return (200, {"ttl-ms": 30000}) if known else (404, {})
+        if path == "/v1/kv-txn":
+            if any(row["key"] in self.items for row in body["precondition"]):
+                return 412, {"items": []}
+            for row in body["puts"]:
+                self.put(row["key"], base64.b64decode(row["value"]), row["lease"])
+            return 200, {"rev": self.revision}
+        return 404, {}
+
+    async def watch(self, prefix, after, wait_s):
+        deadline = time.monotonic() + wait_s
+        while True:
+            if self.history and after < self.history[0]["rev"] - 1 and len(self.history) < self.revision - after:
+                return 410, {}
+            events = [] if self.muted else [e for e in self.history if e["rev"] > after and e["key"].startswith(prefix)]
+            left = deadline - time.monotonic()
+            if events or left <= 0:
+                return 200, {"events": events, "current-rev": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+                method, target, _ = head[0].split(" ")
+                length = next((int(l.split(":")[1]) for l in head if l.lower().startswith("content-length")), 0)
+                body = json.loads(await reader.readexactly(length)) if length else {}
+                path, _, text = target.partition("?")
+                query = dict(part.split("=", 1) for part in text.split("&")) if text else {}
+                await asyncio.sleep(self.delay_s)
+                while self.mode == "silent":
+                    await asyncio.sleep(0.05)
+                if self.mode == "reset":
+                    return
+                status, answer = (503, {}) if self.mode == "busy" else await self.answer(method, path, query, body)
+                data = json.dumps(answer).encode()
+                writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data)) + data)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+
+class Proxy:
+    """A TCP proxy in front of the store for one director: delays, silences one direction, resets."""
+
+    def __init__(self, store_address):
+        self.store_address = store_address
+        self.delay_s, self.silent_up, self.silent_down, self.writers = 0.0, False, False, set()
+
+    async def serve(self, reader, writer):
+        try:
+            up_reader, up_writer = await asyncio.open_connection(self.store_address, STORE_PORT)
+        except OSError:
+            writer.close()
+            return
+        self.writers |= {writer, up_writer}
+        try:
+            await asyncio.gather(self.copy(reader, up_writer, True), self.copy(up_reader, writer, False))
+        except asyncio.CancelledError:
+            pass  # the soak has ended
+        self.writers -= {writer, up_writer}
+
+    async def copy(self, reader, writer, upwards):
+        try:
+            while data := await reader.read(65536):
+                await asyncio.sleep(self.delay_s)
+                if not (self.silent_up if upwards else self.silent_down):
+                    writer.write(data)
+                    await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    def reset(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
+class Host(asyncio.DatagramProtocol):
+    """An upstream: holds flows, answers requests, refuses what it does not hold."""
+
+    def __init__(self, soak, number, service):
+        self.soak, self.number, self.service = soak, number, service
+        self.address = soak.address_of("hosts", number)
+        self.id = 0x11110000 + number
+        self.flows, self.alive, self.listed, self.left = {}, False, False, False
+        self.drained_at, self.disturbed = None, Disturbed()
+        self.beat = 0
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=(self.address, 8080))
+        self.listener = await asyncio.start_server(lambda r, w: w.close(), self.address, 8080)
+        self.alive = True
+        self.report("ready")
+
+    def report(self, state):
+        self.beat += 1
+        self.soak.store.put(f"servers/i-{self.id:08x}", json.dumps(
+            {"service": self.service, "address": f"{self.address}:8080", "zone": "centro", "version": "v1",
+             "slots": 2, "state": state, "warmup-left-ms": 0, "sequence": self.beat, "born": 1}).encode())
+        self.listed = True
+
+    def stop(self, refuse):
+        self.alive = False
+        self.flows.clear()
+        self.transport.close()
+        if refuse:
+            self.listener.close()
+
+    def unlist(self):
+        if self.listed:
+            self.soak.store.delete(f"servers/i-{self.id:08x}")
+            self.listed = False
+
+    def datagram_received(self, data, source):
+        if not self.alive or int.from_bytes(data[:8], "big") != self.id:
+            return
+        packet = Packet(data[8:])
+        self.soak.check(packet.intact(), "UNASKED", f"{self.address} got a packet that its sender did not write so")
+        key = (packet.src, packet.sport, packet.dst, packet.dport)
+        if packet.flags & SYN:
+            self.check_placement(packet, source[0])
+            flow = self.flows.setdefault(key, {"next": packet.seq + 1, "seq": random.getrandbits(31), "last": b""})
+            self.send(key, flow, packet.echo, flow["seq"], SYN | ACK)
+            return
+        flow = self.flows.get(key)
+        if flow is None:
+            if not packet.flags & RST:
+                self.send(key, {"next": 0}, packet.echo, packet.ack, RST)
+        elif packet.flags & RST:
+            del self.flows[key]
+        elif packet.payload:
+            self.take_request(key, flow, packet)
+
+    def check_placement(self, packet, director):
+        services = self.soak.services_of(packet.dport)
+        self.soak.check(self.service in services, "ROUTE", f"port {packet.dport} opened a flow at {self.service}")
+        late = self.drained_at is not None and time.monotonic() - self.drained_at > DRAIN_S
+        if late and self.soak.in_touch(director):
+            self.soak.check(False, "DRAIN", f"{director} opened a flow at {self.address} "
+                            f"{time.monotonic() - self.drained_at:.1f} s after it drained")
+
+    def take_request(self, key, flow, packet):
+        if packet.seq == flow["next"]:
+            flow["next"] += len(packet.payload)
+            flow["seq"] += max(1, len(flow["last"]))
+            flow["last"] = b"done " + packet.payload
+            self.soak.runs[packet.payload] = self.soak.runs.get(packet.payload, 0) + 1
+            self.soak.check(self.soak.runs[packet.payload] == 1, "TWICE", f"{packet.payload} ran twice")
+            asyncio.get_running_loop().call_later(
+                random.uniform(0.005, 0.06), self.answer, key, flow, packet.echo)
+        elif packet.seq < flow["next"]:
+            self.answer(key, flow, packet.echo)
+
+    def answer(self, key, flow, echo):
+        if self.alive and self.flows.get(key) is flow:
+            self.send(key, flow, echo, flow["seq"], ACK, flow["last"])
+
+    def send(self, key, flow, echo, seq, flags, payload=b""):
+        src, sport, dst, dport = key
+        caller = ".".join(map(str, struct.pack(">I", src)))
+        data = pack(seq, flow["next"], flags, echo, src, dport, sport, dst, payload)
+        self.transport.sendto(data, (caller, PACKET_PORT))
+
+
+class Caller(asyncio.DatagramProtocol):
+    """Opens flows one after the other and sends requests on each, with pauses."""
+
+    def __init__(self, soak, number):
+        self.soak, self.address, self.port = soak, soak.address_of("callers", number), 1024
+        self.inbox = asyncio.Queue()
+
+    def datagram_received(self, data, source):
+        self.inbox.put_nowait((Packet(data), source[0]))
+
+    async def receive(self, deadline):
+        while (left := deadline - time.monotonic()) > 0:
+            try:
+                packet, source = await asyncio.wait_for(self.inbox.get(), left)
+            except asyncio.TimeoutError:
+                return None, None
+            if packet.dport == self.port:
+                return packet, source
+        return None, None
+
+    def send(self, flow, flags, payload=b"", ack=None):
+        data = pack(flow["seq"], flow["ack"] if ack is None else ack, flags, flow["echo"],
+                    ip_number(SERVICE_ADDRESS), self.port, flow["dport"], ip_number(self.address), payload)
+        director = self.soak.route(self.address, self.port)
+        if director:
+            self.transport.sendto(data, (director.address, PACKET_PORT))
+
+    async def run(self):
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=(self.address, PACKET_PORT))
+        while not self.soak.ended:
+            self.port = self.port + 1 if self.port < 60000 else 1025
+            dport = random.choice([WORKSHOP_PORT, WORKSHOP_PORT, ARCHIVE_PORT, LATE_PORT])
+            flow = await self.open(dport)
+            for _ in range(random.choice([1, 5, 40])):
+                if flow is None or self.soak.ended or not await self.request(flow):
+                    break
+                await asyncio.sleep(random.expovariate(4))
+            await asyncio.sleep(0.02)
+
+    async def open(self, dport):
+        flow = {"dport": dport, "seq": random.getrandbits(31), "ack": 0, "echo": 0, "host": None}
+        started, copies = time.monotonic(), 0
+        self.send(flow, SYN, ack=0)
+        while True:
+            wait = REPEAT_TIMES[copies] if copies < len(REPEAT_TIMES) else OPEN_LIMIT_S
+            packet, source = await self.receive(started + wait)
+            if packet is None:
+                if copies == len(REPEAT_TIMES):
+                    return self.opened(dport, started, False, None)
+                copies += 1
+                self.send(flow, SYN, ack=copies)
+            elif packet.flags & RST:
+                return self.opened(dport, started, False, source)
+            elif packet.flags & SYN:
+                flow.update(seq=flow["seq"] + 1, ack=packet.seq + 1, echo=packet.echo, host=source)
+                self.send(flow, ACK)
+                self.opened(dport, started, True, source)
+                return flow
+
+    def opened(self, dport, started, success, source):
+        director = self.soak.route(self.address, self.port)
+        expected = self.soak.expected(dport, started)
+        if expected is not None and director and self.soak.in_touch(director.address):
+            refused = source is not None and not success
+            self.soak.check(not (success and not expected), "CONFIG", f"port {dport} opens without a route")
+            self.soak.check(not (refused and expected and self.soak.has_room(dport)), "CONFIG",
+                            f"port {dport} is refused by {source} though it has a route")
+        return None
+
+    async def request(self, flow):
+        payload = f"GET /{self.soak.next_request()} HTTP/1.1\r\nX-Request-Id: {self.soak.requests:08x}\r\n\r\n".encode()
+        started, wait = time.monotonic(), 0.2
+        self.soak.asked(flow["dport"])
+        self.send(flow, ACK, payload)
+        while time.monotonic() < started + 2.5:
+            packet, source = await self.receive(time.monotonic() + wait)
+            if packet is None:
+                wait = min(2 * wait, 1.6)
+                self.send(flow, ACK, payload)
+            elif packet.flags & RST:
+                self.check_reset(flow, source)
+                return False
+            elif packet.payload == b"done " + payload:
+                flow.update(seq=flow["seq"] + len(payload), ack=packet.seq + len(packet.payload), echo=packet.echo)
+                self.send(flow, ACK)
+                self.soak.answered(flow["dport"])
+                return True
+            elif packet.flags & SYN:
+                flow["echo"] = packet.echo if source != flow["host"] else flow["echo"]
+        return False
+
+    def check_reset(self, flow, source):
+        host = self.soak.host_at(flow["host"])
+        sender = self.soak.director_at(source)
+        route = self.soak.expected(flow["dport"], time.monotonic())
+        if sender and host and host.alive and not host.left and not host.disturbed.now() and route:
+            self.soak.check(not self.soak.in_touch(source), "FLOW", f"{source} reset a flow of {host.address}, which lives")
+
+
+class Director:
+    """A guavaramp-director as a process of its own."""
+
+    def __init__(self, soak, number):
+        self.soak, self.number, self.address = soak, number, soak.address_of("directors", number)
+        self.ready, self.misses, self.process = False, 0, None
+        self.proxy = Proxy(soak.address_of("store", 0))
+        self.disturbed = Disturbed()
+        self.settings = os.path.join(soak.folder, f"director-{number}.json")
+        with open(self.settings, "w") as file:
+            json.dump({"vm": f"d{number}", "failure_domain": "centro", "packets": f"{self.address}:{PACKET_PORT}",
+                       "status": f"{self.address}:{READY_PORT}", "metrics": f"{self.address}:{METRICS_PORT}",
+                       "peers": f"{self.address}:{PEER_PORT}", "store": f"{soak.address_of('proxies', number)}:{STORE_PORT}",
+                       "memory_mb": 64}, file)
+
+    def start(self):
+        log = open(os.path.join(self.soak.folder, f"director-{self.number}.log"), "ab")
+        self.process = subprocess.Popen([self.soak.program, "--settings", self.settings], stdout=log, stderr=log)
+        log.close()
+
+    async def watch_ready(self):
+        while not self.soak.ended:
+            try:
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(self.address, READY_PORT), 0.4)
+                writer.write(b"GET /v1/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                ok = b" 200 " in await asyncio.wait_for(reader.readline(), 0.4)
+                writer.close()
+            except (OSError, asyncio.TimeoutError):
+                ok = False
+            self.misses = 0 if ok else self.misses + 1
+            self.ready = ok or (self.ready and self.misses < 2)
+            await asyncio.sleep(0.5)
+
+    async def end(self, number, pause_s):
+        self.disturbed.begin()
+        self.process.send_signal(number)
+        while self.process.poll() is None:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(pause_s)
+        self.start()
+        self.disturbed.end()
