--- a/scripts/soak_stand_ins.py
+++ b/scripts/soak_stand_ins.py
@@ -386,6 +386,7 @@
     def __init__(self, soak, number):
         self.soak, self.number, self.address = soak, number, soak.address_of("directors", number)
         self.ready, self.misses, self.process = False, 0, None
+        self.ending = False
         self.proxy = Proxy(soak.address_of("store", 0))
         self.disturbed = Disturbed()
         self.settings = os.path.join(soak.folder, f"director-{number}.json")
@@ -396,8 +397,11 @@
                        "memory_mb": 64}, file)
 
     def start(self):
+        if self.soak.ended:
+            return
         log = open(os.path.join(self.soak.folder, f"director-{self.number}.log"), "ab")
         self.process = subprocess.Popen([self.soak.program, "--settings", self.settings], stdout=log, stderr=log)
+        self.soak.processes.append(self.process)
         log.close()
 
     async def watch_ready(self):
@@ -414,10 +418,15 @@
             await asyncio.sleep(0.5)
 
     async def end(self, number, pause_s):
+        """Sends a signal that ends the process. Of several that overlap, the first starts it again."""
         self.disturbed.begin()
-        self.process.send_signal(number)
-        while self.process.poll() is None:
+        process = self.process
+        process.send_signal(number)
+        first, self.ending = not self.ending, True
+        while process.poll() is None or (not first and self.ending):
             await asyncio.sleep(0.05)
-        await asyncio.sleep(pause_s)
-        self.start()
+        if first:
+            await asyncio.sleep(pause_s)
+            self.start()
+            self.ending = False
         self.disturbed.end()
