No stall verdict while answers of all hosts are late; a third attempt in a probe

Change: requests count as overdue, and hosts as stalled, only while answers of other hosts reach the director in time. A probe makes a third attempt after 75 ms and fails after 150 ms. Big-endian numbers and the log level's parsing stand in one place each.

--- a/apps/director/main.cpp
+++ b/apps/director/main.cpp
@@ -70,13 +70,6 @@
     log_event(log_level::info, "planned_stop_finished");
 }
 
-log_level parse_log_level(const std::string& text) {
-    if (text == "error") {
-        return log_level::error;
-    }
-    return text == "warning" ? log_level::warning : log_level::info;
-}
-
 int run(const std::string& settings_path, bool check_only) {
     auto settings = load_director_settings(settings_path);
     if (!settings) {
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -32,13 +32,6 @@
         .count();
 }
 
-log_level parse_log_level(const std::string& text) {
-    if (text == "error") {
-        return log_level::error;
-    }
-    return text == "warning" ? log_level::warning : log_level::info;
-}
-
 void add_admin_routes(entry_context& context) {
     // The fabric's health check: without a configuration, or during a planned stop, packets belong elsewhere.
     context.router.add("GET", "/healthz", [&context](const http_request&, const http_responder& respond) {
--- a/libs/director/include/guavaramp/director/director.hpp
+++ b/libs/director/include/guavaramp/director/director.hpp
@@ -106,6 +106,8 @@
     std::deque<pending_answer> answers;  ///< by `due_at`
     std::deque<pending_answer> overdue;  ///< requests whose host was suspected before; by `due_at`
     std::deque<stall_check> stall_checks;
+    mono_time last_answer{};     ///< of any host
+    double recent_answer_ms{0};  ///< moving average over the last few answers of all hosts
 };
 
 /// Decides what happens to a caller's packet, and learns from it. Precondition: `now` does not go back. Not
--- a/libs/director/src/director.cpp
+++ b/libs/director/src/director.cpp
@@ -27,6 +27,13 @@
 constexpr auto overdue_after = std::chrono::milliseconds{400};
 /// Time for other directors to object that a host answers them: ten round trips inside a failure domain.
 constexpr auto objection_time = std::chrono::milliseconds{50};
+/// What this director's own path must look like for a missing answer to be the host's fault: packets from
+/// callers wait at this machine's link or processor when answers of all hosts are late or absent. Half of the
+/// time after which a request is overdue.
+constexpr auto clear_path_answer_age = std::chrono::milliseconds{250};
+constexpr double clear_path_answer_ms = 200.0;
+/// Share of the newest answer in the average over all hosts: about the last five count.
+constexpr double newest_answer_share = 0.2;
 /// How long ago an upstream may have answered to serve as a probe's reference.
 constexpr auto reference_validity = std::chrono::milliseconds{1000};
 /// Opening packets and requests that are waited for; beyond this only the callers' repeats are evidence.
@@ -181,6 +188,18 @@
     return entry;
 }
 
+void note_path_answer(director_state& state, mono_time sent, mono_time now) noexcept {
+    const double answer_ms = std::chrono::duration<double, std::milli>(now - sent).count();
+    const bool first = state.last_answer == mono_time{};
+    state.recent_answer_ms += (answer_ms - state.recent_answer_ms) * (first ? 1.0 : newest_answer_share);
+    state.last_answer = now;
+}
+
+/// Whether answers of hosts reach this director in time.
+bool is_path_clear(const director_state& state, mono_time now) noexcept {
+    return now - state.last_answer <= clear_path_answer_age && state.recent_answer_ms <= clear_path_answer_ms;
+}
+
 /// Learns from a packet of an established flow. Returns whether the upstream should be probed.
 bool observe(director_state& state, flow_entry& entry, const flow_packet& packet, mono_time now) {
     auto& health = health_of(state, entry.tag);
@@ -189,6 +208,7 @@
         entry.last_acknowledged = packet.acknowledgement;
         if (entry.unanswered_since != mono_time{}) {
             note_answer(health, entry.unanswered_since, now);
+            note_path_answer(state, entry.unanswered_since, now);
         } else {
             note_data(health, now);
         }
@@ -418,7 +438,8 @@
         const auto pending = state.overdue.front();
         state.overdue.pop_front();
         const auto* entry = waiting_entry(state, pending);
-        if (entry != nullptr && count_overdue(state, entry->tag, pending.sent_at, now)) {
+        const bool overdue = entry != nullptr && is_path_clear(state, now);
+        if (overdue && count_overdue(state, entry->tag, pending.sent_at, now)) {
             due.notes.push_back(
                 {.kind = host_note_kind::overdue, .tag = entry->tag, .age_ms = age_ms(pending.sent_at, now)});
         }
@@ -426,7 +447,7 @@
     while (!state.stall_checks.empty() && state.stall_checks.front().due_at <= now) {
         const auto tag = state.stall_checks.front().tag;
         state.stall_checks.pop_front();
-        if (auto& health = health_of(state, tag); is_stalled(health, now)) {
+        if (auto& health = health_of(state, tag); is_stalled(health, now) && is_path_clear(state, now)) {
             note_stalled(health, now);
             due.stalled.push_back(tag);
         }
--- a/libs/membership/src/control_message.cpp
+++ b/libs/membership/src/control_message.cpp
@@ -1,3 +1,4 @@
+#include <guavaramp/base/big_endian.hpp>
 #include <guavaramp/membership/control_message.hpp>
 
 #include <nlohmann/json.hpp>
@@ -81,22 +82,11 @@
 
 std::array<std::byte, seal_header_size> header_bytes(const seal_header& header) {
     std::array<std::byte, seal_header_size> bytes{};
-    for (std::size_t index = 0; index < 8; ++index) {
-        const auto shift = 8 * (7 - index);
-        bytes[index] = static_cast<std::byte>(header.incarnation >> shift);
-        bytes[8 + index] = static_cast<std::byte>(header.sequence >> shift);
-    }
+    write_big_endian<std::uint64_t>(bytes, 0, header.incarnation);
+    write_big_endian<std::uint64_t>(bytes, sizeof header.incarnation, header.sequence);
     return bytes;
 }
 
-std::uint64_t read_number(std::span<const std::byte> bytes) {
-    std::uint64_t value = 0;
-    for (const auto byte : bytes.first(8)) {
-        value = (value << 8U) | static_cast<std::uint64_t>(byte);
-    }
-    return value;
-}
-
 }  // namespace
 
 const char* to_string(message_kind kind) noexcept {
@@ -169,7 +159,8 @@
                      payload})) {
         return fail(error_kind::unauthenticated, "the tag does not match");
     }
-    if (auto accepted = guard.accept(sender, read_number(prefix), read_number(prefix.subspan(8)));
+    if (auto accepted = guard.accept(sender, read_big_endian<std::uint64_t>(prefix, 0),
+                                     read_big_endian<std::uint64_t>(prefix, 8));
         !accepted) {
         return tl::make_unexpected(accepted.error());
     }
--- a/libs/net/include/guavaramp/net/tcp_probe.hpp
+++ b/libs/net/include/guavaramp/net/tcp_probe.hpp
@@ -12,14 +12,17 @@
 
 namespace guavaramp {
 
-/// When a probe without an answer has failed, provided that its reference has connected. Twenty round trips
-/// between failure domains.
-inline constexpr auto probe_timeout = std::chrono::milliseconds{80};
+/// When a probe without an answer has failed, provided that its reference has connected. Time for three
+/// attempts, the last with twenty round trips between failure domains.
+inline constexpr auto probe_timeout = std::chrono::milliseconds{150};
 /// When a probe without an answer has failed although its reference, or the lack of one, shows nothing:
 /// packets may have to wait this long at this machine's own link while it is busy.
 inline constexpr auto probe_longest_time = std::chrono::milliseconds{600};
 /// When a second connection attempt starts beside the first, so that one lost packet does not fail a probe.
 inline constexpr auto probe_second_attempt_after = std::chrono::milliseconds{25};
+/// When a third one starts: a host whose queue of new connections is full drops attempts, and the kernel
+/// sends a dropped one again only after a second.
+inline constexpr auto probe_third_attempt_after = std::chrono::milliseconds{75};
 
 /// The result of a connection attempt.
 enum class connect_outcome : std::uint8_t { connected, refused, silent };
@@ -62,6 +65,7 @@
         mono_time started{};
         int first{-1};
         int second{-1};
+        int third{-1};
         int reference_socket{-1};
         bool refused{false};
         bool reference_answered{false};
@@ -69,6 +73,9 @@
 
     static void start_second_attempts(attempt& probe);
 
+    /// Time from a probe's start to when it has something to do without a ready socket.
+    [[nodiscard]] static std::chrono::milliseconds next_wait(const attempt& probe) noexcept;
+
     std::vector<attempt> running_;
 };
 
--- a/libs/net/src/tcp_probe.cpp
+++ b/libs/net/src/tcp_probe.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <initializer_list>
 #include <optional>
 
 namespace guavaramp {
@@ -69,12 +70,16 @@
     return outcome_of(failure);
 }
 
-/// Time from a probe's start to when it has something to do without a ready socket.
-std::chrono::milliseconds next_wait(bool second_started, bool reference_answered) noexcept {
-    if (!second_started) {
-        return probe_second_attempt_after;
+/// The outcome of any of a probe's attempts; a connection outranks a refusal.
+std::optional<connect_outcome> outcome_of_any(std::initializer_list<int> handles) noexcept {
+    std::optional<connect_outcome> outcome;
+    for (const int handle : handles) {
+        const auto checked = check_socket(handle);
+        if (checked && outcome != connect_outcome::connected) {
+            outcome = checked;
+        }
     }
-    return reference_answered ? probe_timeout : probe_longest_time;
+    return outcome;
 }
 
 }  // namespace
@@ -83,6 +88,7 @@
     for (auto& probe : running_) {
         close_socket(probe.first);
         close_socket(probe.second);
+        close_socket(probe.third);
         close_socket(probe.reference_socket);
     }
 }
@@ -100,7 +106,7 @@
 
 void tcp_probes::add_to_poll(std::vector<pollfd>& polled) const {
     for (const auto& probe : running_) {
-        for (const int handle : {probe.first, probe.second, probe.reference_socket}) {
+        for (const int handle : {probe.first, probe.second, probe.third, probe.reference_socket}) {
             if (handle >= 0) {
                 polled.push_back({.fd = handle, .events = POLLOUT, .revents = 0});
             }
@@ -110,12 +116,21 @@
 
 mono_time tcp_probes::next_deadline(mono_time otherwise) const {
     for (const auto& probe : running_) {
-        otherwise =
-            std::min(otherwise, probe.started + next_wait(probe.second >= 0, probe.reference_answered));
+        otherwise = std::min(otherwise, probe.started + next_wait(probe));
     }
     return otherwise;
 }
 
+std::chrono::milliseconds tcp_probes::next_wait(const attempt& probe) noexcept {
+    if (probe.second < 0) {
+        return probe_second_attempt_after;
+    }
+    if (probe.third < 0) {
+        return probe_third_attempt_after;
+    }
+    return probe.reference_answered ? probe_timeout : probe_longest_time;
+}
+
 void tcp_probes::start_second_attempts(attempt& probe) {
     const auto opened = open_socket(probe.target);
     probe.second = opened.handle;
@@ -130,11 +145,7 @@
 std::vector<finished_probe> tcp_probes::collect(mono_time now) {
     std::vector<finished_probe> finished;
     std::erase_if(running_, [now, &finished](attempt& probe) {
-        auto outcome = check_socket(probe.first);
-        if (const auto second = check_socket(probe.second);
-            !outcome || second == connect_outcome::connected) {
-            outcome = second ? second : outcome;
-        }
+        auto outcome = outcome_of_any({probe.first, probe.second, probe.third});
         if (probe.refused) {
             outcome = connect_outcome::refused;
         }
@@ -151,10 +162,14 @@
             if (probe.second < 0 && now >= probe.started + probe_second_attempt_after) {
                 start_second_attempts(probe);
             }
+            if (probe.third < 0 && now >= probe.started + probe_third_attempt_after) {
+                probe.third = open_socket(probe.target).handle;
+            }
             return false;
         }
         close_socket(probe.first);
         close_socket(probe.second);
+        close_socket(probe.third);
         close_socket(probe.reference_socket);
         finished.push_back({.key = probe.key, .outcome = *outcome, .started = probe.started});
         return true;
--- a/libs/packet/src/ip.cpp
+++ b/libs/packet/src/ip.cpp
@@ -1,3 +1,4 @@
+#include <guavaramp/base/big_endian.hpp>
 #include <guavaramp/base/hash.hpp>
 #include <guavaramp/packet/gue.hpp>
 #include <guavaramp/packet/ip.hpp>
@@ -15,29 +16,10 @@
 constexpr std::uint8_t default_hop_limit = 64;
 constexpr std::uint16_t advertised_window = 65535;
 
-std::uint16_t read16(std::span<const std::byte> bytes, std::size_t offset) noexcept {
-    return static_cast<std::uint16_t>((std::to_integer<unsigned>(bytes[offset]) << 8U) |
-                                      std::to_integer<unsigned>(bytes[offset + 1]));
-}
-
-std::uint32_t read32(std::span<const std::byte> bytes, std::size_t offset) noexcept {
-    return (std::uint32_t{read16(bytes, offset)} << 16U) | read16(bytes, offset + 2);
-}
-
-void write16(std::span<std::byte> bytes, std::size_t offset, std::uint16_t value) noexcept {
-    bytes[offset] = static_cast<std::byte>(value >> 8U);
-    bytes[offset + 1] = static_cast<std::byte>(value & 0xffU);
-}
-
-void write32(std::span<std::byte> bytes, std::size_t offset, std::uint32_t value) noexcept {
-    write16(bytes, offset, static_cast<std::uint16_t>(value >> 16U));
-    write16(bytes, offset + 2, static_cast<std::uint16_t>(value));
-}
-
 std::uint32_t sum_words(std::span<const std::byte> bytes, std::uint32_t sum) noexcept {
     std::size_t offset = 0;
     for (; offset + 1 < bytes.size(); offset += 2) {
-        sum += read16(bytes, offset);
+        sum += read_big_endian<std::uint16_t>(bytes, offset);
     }
     if (offset < bytes.size()) {
         sum += std::to_integer<std::uint32_t>(bytes[offset]) << 8U;
@@ -81,18 +63,18 @@
         return fail(error_kind::malformed, "IPv4 header is truncated");
     }
     const std::size_t header_size = (std::to_integer<std::size_t>(packet[0]) & 0x0fU) * 4;
-    const std::size_t total_size = read16(packet, 2);
+    const std::size_t total_size = read_big_endian<std::uint16_t>(packet, 2);
     if (header_size < ipv4_header_size || total_size < header_size || total_size > packet.size()) {
         return fail(error_kind::malformed, "IPv4 lengths do not match the packet");
     }
-    if ((read16(packet, 6) & 0x3fffU) != 0) {
+    if ((read_big_endian<std::uint16_t>(packet, 6) & 0x3fffU) != 0) {
         return fail(error_kind::malformed, "IPv4 fragments are not supported");
     }
     if (fold_checksum(sum_words(packet.first(header_size), 0)) != 0) {
         return fail(error_kind::malformed, "IPv4 header checksum is wrong");
     }
-    return network_header{.source = from_ipv4(read32(packet, 12)),
-                          .destination = from_ipv4(read32(packet, 16)),
+    return network_header{.source = from_ipv4(read_big_endian<std::uint32_t>(packet, 12)),
+                          .destination = from_ipv4(read_big_endian<std::uint32_t>(packet, 16)),
                           .protocol = std::to_integer<std::uint8_t>(packet[9]),
                           .payload = packet.subspan(header_size, total_size - header_size)};
 }
@@ -101,7 +83,7 @@
     if (packet.size() < ipv6_header_size) {
         return fail(error_kind::malformed, "IPv6 header is truncated");
     }
-    const std::size_t payload_size = read16(packet, 4);
+    const std::size_t payload_size = read_big_endian<std::uint16_t>(packet, 4);
     if (payload_size > packet.size() - ipv6_header_size) {
         return fail(error_kind::malformed, "IPv6 length does not match the packet");
     }
@@ -120,13 +102,14 @@
     if (header_size < tcp_header_size || header_size > segment.size()) {
         return fail(error_kind::malformed, "TCP data offset does not match the segment");
     }
-    return ip_packet{.source = {.address = network.source, .port = read16(segment, 0)},
-                     .destination = {.address = network.destination, .port = read16(segment, 2)},
-                     .protocol = transport::tcp,
-                     .tcp_flags = std::to_integer<std::uint8_t>(segment[13]),
-                     .sequence = read32(segment, 4),
-                     .acknowledgment = read32(segment, 8),
-                     .payload = segment.subspan(header_size)};
+    return ip_packet{
+        .source = {.address = network.source, .port = read_big_endian<std::uint16_t>(segment, 0)},
+        .destination = {.address = network.destination, .port = read_big_endian<std::uint16_t>(segment, 2)},
+        .protocol = transport::tcp,
+        .tcp_flags = std::to_integer<std::uint8_t>(segment[13]),
+        .sequence = read_big_endian<std::uint32_t>(segment, 4),
+        .acknowledgment = read_big_endian<std::uint32_t>(segment, 8),
+        .payload = segment.subspan(header_size)};
 }
 
 result<ip_packet> parse_udp(const network_header& network) {
@@ -134,14 +117,15 @@
     if (datagram.size() < udp_header_size) {
         return fail(error_kind::malformed, "UDP header is truncated");
     }
-    const std::size_t size = read16(datagram, 4);
+    const std::size_t size = read_big_endian<std::uint16_t>(datagram, 4);
     if (size < udp_header_size || size > datagram.size()) {
         return fail(error_kind::malformed, "UDP length does not match the packet");
     }
-    return ip_packet{.source = {.address = network.source, .port = read16(datagram, 0)},
-                     .destination = {.address = network.destination, .port = read16(datagram, 2)},
-                     .protocol = transport::udp,
-                     .payload = datagram.subspan(udp_header_size, size - udp_header_size)};
+    return ip_packet{
+        .source = {.address = network.source, .port = read_big_endian<std::uint16_t>(datagram, 0)},
+        .destination = {.address = network.destination, .port = read_big_endian<std::uint16_t>(datagram, 2)},
+        .protocol = transport::udp,
+        .payload = datagram.subspan(udp_header_size, size - udp_header_size)};
 }
 
 // Sum over the pseudo-header (RFC 9293 section 3.1, RFC 8200 section 8.1). The IPv4-mapped prefix adds a
@@ -157,44 +141,45 @@
 }
 
 void write_tcp(const ip_packet& packet, std::span<std::byte> out) noexcept {
-    write16(out, 0, packet.source.port);
-    write16(out, 2, packet.destination.port);
-    write32(out, 4, packet.sequence);
-    write32(out, 8, packet.acknowledgment);
+    write_big_endian<std::uint16_t>(out, 0, packet.source.port);
+    write_big_endian<std::uint16_t>(out, 2, packet.destination.port);
+    write_big_endian<std::uint32_t>(out, 4, packet.sequence);
+    write_big_endian<std::uint32_t>(out, 8, packet.acknowledgment);
     out[12] = std::byte{(tcp_header_size / 4) << 4U};
     out[13] = static_cast<std::byte>(packet.tcp_flags);
-    write16(out, 14, advertised_window);
-    write32(out, 16, 0);
+    write_big_endian<std::uint16_t>(out, 14, advertised_window);
+    write_big_endian<std::uint32_t>(out, 16, 0);
     std::copy(packet.payload.begin(), packet.payload.end(), out.begin() + tcp_header_size);
-    write16(out, 16, fold_checksum(sum_words(out, sum_pseudo_header(packet, out.size()))));
+    write_big_endian<std::uint16_t>(out, 16,
+                                    fold_checksum(sum_words(out, sum_pseudo_header(packet, out.size()))));
 }
 
 void write_udp(const ip_packet& packet, std::span<std::byte> out) noexcept {
-    write16(out, 0, packet.source.port);
-    write16(out, 2, packet.destination.port);
-    write16(out, 4, static_cast<std::uint16_t>(out.size()));
-    write16(out, 6, 0);
+    write_big_endian<std::uint16_t>(out, 0, packet.source.port);
+    write_big_endian<std::uint16_t>(out, 2, packet.destination.port);
+    write_big_endian<std::uint16_t>(out, 4, static_cast<std::uint16_t>(out.size()));
+    write_big_endian<std::uint16_t>(out, 6, 0);
     std::copy(packet.payload.begin(), packet.payload.end(), out.begin() + udp_header_size);
     const std::uint16_t checksum = fold_checksum(sum_words(out, sum_pseudo_header(packet, out.size())));
     // A computed checksum of 0 is sent as all ones; 0 means "none" (RFC 768).
-    write16(out, 6, checksum == 0 ? 0xffffU : checksum);
+    write_big_endian<std::uint16_t>(out, 6, checksum == 0 ? 0xffffU : checksum);
 }
 
 void write_ipv4_header(const ip_packet& packet, std::span<std::byte> out) noexcept {
     std::fill_n(out.begin(), ipv4_header_size, std::byte{0});
     out[0] = std::byte{0x45};
-    write16(out, 2, static_cast<std::uint16_t>(out.size()));
-    write16(out, 6, 0x4000);
+    write_big_endian<std::uint16_t>(out, 2, static_cast<std::uint16_t>(out.size()));
+    write_big_endian<std::uint16_t>(out, 6, 0x4000);
     out[8] = std::byte{default_hop_limit};
     out[9] = static_cast<std::byte>(packet.protocol);
-    write32(out, 12, to_ipv4(packet.source.address));
-    write32(out, 16, to_ipv4(packet.destination.address));
-    write16(out, 10, fold_checksum(sum_words(out.first(ipv4_header_size), 0)));
+    write_big_endian<std::uint32_t>(out, 12, to_ipv4(packet.source.address));
+    write_big_endian<std::uint32_t>(out, 16, to_ipv4(packet.destination.address));
+    write_big_endian<std::uint16_t>(out, 10, fold_checksum(sum_words(out.first(ipv4_header_size), 0)));
 }
 
 void write_ipv6_header(const ip_packet& packet, std::span<std::byte> out) noexcept {
-    write32(out, 0, 0x60000000U);
-    write16(out, 4, static_cast<std::uint16_t>(out.size() - ipv6_header_size));
+    write_big_endian<std::uint32_t>(out, 0, 0x60000000U);
+    write_big_endian<std::uint16_t>(out, 4, static_cast<std::uint16_t>(out.size() - ipv6_header_size));
     out[6] = static_cast<std::byte>(packet.protocol);
     out[7] = std::byte{default_hop_limit};
     write_ipv6(out, 8, packet.source.address);
@@ -207,8 +192,8 @@
     std::array<std::byte, 37> bytes{};
     write_ipv6(bytes, 0, key.caller.address);
     write_ipv6(bytes, 16, key.service.address);
-    write16(bytes, 32, key.caller.port);
-    write16(bytes, 34, key.service.port);
+    write_big_endian<std::uint16_t>(bytes, 32, key.caller.port);
+    write_big_endian<std::uint16_t>(bytes, 34, key.service.port);
     bytes[36] = static_cast<std::byte>(key.protocol);
     return hash_bytes(bytes);
 }
--- a/libs/telemetry/include/guavaramp/telemetry/log.hpp
+++ b/libs/telemetry/include/guavaramp/telemetry/log.hpp
@@ -2,12 +2,16 @@
 
 #include <initializer_list>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace guavaramp {
 
 enum class log_level { info, warning, error };
 
+/// The level that a settings file names "info", "warning" or "error"; `info` for any other text. Thread-safe.
+[[nodiscard]] log_level parse_log_level(std::string_view text) noexcept;
+
 /// A named value of a log line.
 using log_field = std::pair<const char*, std::string>;
 
--- a/libs/telemetry/src/log.cpp
+++ b/libs/telemetry/src/log.cpp
@@ -25,6 +25,13 @@
 
 }  // namespace
 
+log_level parse_log_level(std::string_view text) noexcept {
+    if (text == "error") {
+        return log_level::error;
+    }
+    return text == "warning" ? log_level::warning : log_level::info;
+}
+
 void start_log(const std::string& program, log_level least) {
     spdlog::init_thread_pool(queued_lines, 1);
     // A full queue drops the oldest line instead of blocking the thread that logs.
