--- a/scripts/experiments/capacity.py
+++ b/scripts/experiments/capacity.py
@@ -194,7 +194,7 @@
 
     text = f"""# Capacity at the design size
 
-Design size: {DAEMONS} daemons, {HOSTS:,} hosts, {SERVICES:,} service addresses, {OPEN_FLOWS / 1e6:.1f} million open flows, {NEW_FLOWS_PER_S:,} new flows a second, {CHANGES_PER_DAY:,} changes a day, 2 regions with {DOMAINS} failure domains. Budget per daemon for control: 4.6% of a core, 64 MB, 19 KB a second.
+Design size: {DAEMONS} daemons, {HOSTS:,} hosts, {SERVICES:,} service addresses, {OPEN_FLOWS / 1e6:.1f} million open flows, {NEW_FLOWS_PER_S:,} new flows a second, {CHANGES_PER_DAY:,} changes a day, 2 regions with {DOMAINS} failure domains. Budget per daemon for control: 4.6% of a core, 64 MB, 19 KB a second. The daemon is `guavaramp-entry`; what is measured of `guavaramp-director` stands in [measurements](measurements.md).
 
 This page is written by `scripts/capacity page` from the data in `docs/capacity`; edit the script, not the page. All figures are from one shared machine with 10 noisy cores, real daemons on loopback, up to 81 of them. Everything beyond 81 daemons is extrapolated by the fit that is named; where noise gives a negative slope, the largest measurement is taken. CPU is read in ticks of 10 ms over 4 s, so one step is 0.25% of a core. The two points against open flows differ by noise, and their fit is an upper bound.
 
