Remove two fields that nothing reads

Cause: the read-through found flow_entry::earlier_tag and host_health::last_- silence written and never read. Change: both are gone; behaviour is unchanged.

--- a/libs/director/include/guavaramp/director/flow_cache.hpp
+++ b/libs/director/include/guavaramp/director/flow_cache.hpp
@@ -14,7 +14,6 @@
 /// packet, and shows whether the host answers.
 struct flow_entry {
     steering_tag tag{no_tag};           ///< the upstream that the flow belongs to
-    steering_tag earlier_tag{no_tag};   ///< the one that left the flow's first opening packet unanswered
     std::uint32_t opening_sequence{0};  ///< of the opening packet; tells a copy from a new flow
     std::uint32_t last_acknowledged{0};
     std::uint32_t sent_until{0};  ///< end of the caller's data seen so far
--- a/libs/director/include/guavaramp/director/host_health.hpp
+++ b/libs/director/include/guavaramp/director/host_health.hpp
@@ -45,7 +45,6 @@
     mono_time last_progress{};  ///< when a flow last showed that the host had answered in any way
     mono_time
         last_answer{};  ///< when one showed that it had answered a request; hosts that hang still open flows
-    mono_time last_silence{};       ///< when a packet was last found unanswered for too long
     mono_time unreachable_until{};  ///< deadline of the belief that the host cannot be reached
     mono_time avoid_until{};        ///< deadline until which new flows prefer other hosts
     mono_time next_probe_at{};
--- a/libs/director/src/director.cpp
+++ b/libs/director/src/director.cpp
@@ -85,7 +85,6 @@
     health.avoid_until = now + avoid_after_silence;
     const auto tag = tag_of(chosen.report.delivery_id);
     if (tag != entry.tag) {
-        entry.earlier_tag = entry.tag;
         retag_flow(state.flows, entry, tag);
     }
     set_unanswered(state.flows, entry, now);
--- a/libs/director/src/host_health.cpp
+++ b/libs/director/src/host_health.cpp
@@ -39,7 +39,6 @@
     if (health.last_progress > first_sent) {
         return false;
     }
-    health.last_silence = now;
     return !health.probing && now >= health.next_probe_at;
 }
 
