--- a/apps/director/control_duty.cpp
+++ b/apps/director/control_duty.cpp
@@ -1,5 +1,6 @@
 #include "control_duty.hpp"
 
+#include "news_exchange.hpp"
 #include "roster_keeper.hpp"
 #include "store_reader.hpp"
 
@@ -34,8 +35,16 @@
 
 class running_control_duty final : public control_duty {
 public:
-    explicit running_control_duty(director_context& context)
-        : context_(context), reader_(io_, context), roster_(io_, context), tick_(io_) {}
+    running_control_duty(director_context& context, peer_socket news_socket)
+        : context_(context),
+          reader_(io_, context),
+          roster_(io_, context),
+          news_(io_, context, std::move(news_socket),
+                {.report = [this] { return reader_.report(); },
+                 .listing = [this] { return reader_.listing(); },
+                 .apply = [this](const listing_delta& delta) { reader_.apply_relayed(delta); },
+                 .source_changed = [this](const news_source& source) { reader_.follow(source); }}),
+          tick_(io_) {}
     running_control_duty(const running_control_duty&) = delete;
     running_control_duty& operator=(const running_control_duty&) = delete;
 
@@ -64,8 +73,9 @@
 private:
     void run() {
         name_thread("control");
-        reader_.start();
+        reader_.start([this](const std::optional<listing_delta>& delta) { news_.announce(delta); });
         roster_.start();
+        news_.start();
         tick();
         io_.run();
         write_decisions();
@@ -143,6 +153,7 @@
     asio::io_context io_{1};
     store_reader reader_;
     roster_keeper roster_;
+    news_exchange news_;
     asio::steady_timer tick_;
     http_router router_;
     std::vector<std::unique_ptr<http_server>> servers_;
@@ -155,7 +166,11 @@
 }  // namespace
 
 result<std::unique_ptr<control_duty>> control_duty::start(director_context& context) {
-    auto duty = std::make_unique<running_control_duty>(context);
+    auto news_socket = news_exchange::open_socket(context);
+    if (!news_socket) {
+        return tl::make_unexpected(news_socket.error());
+    }
+    auto duty = std::make_unique<running_control_duty>(context, *std::move(news_socket));
     if (auto started = duty->start(); !started) {
         return tl::make_unexpected(started.error());
     }
--- a/apps/director/director_settings.cpp
+++ b/apps/director/director_settings.cpp
@@ -21,6 +21,7 @@
     settings.status = reader->socket_address("status");
     settings.metrics = reader->socket_address("metrics");
     settings.peers = reader->socket_address("peers");
+    settings.news = reader->socket_address("news");
     settings.store = reader->socket_address("store");
     settings.most_memory_mb = reader->integer("memory_mb", 1, most_memory_mb);
     settings.log_level = reader->choice("log_level", {"info", "warning", "error"}, "info");
--- a/apps/director/director_settings.hpp
+++ b/apps/director/director_settings.hpp
@@ -15,7 +15,8 @@
     endpoint packets;            ///< UDP, callers' packets; callers take answers at the same port
     endpoint status;             ///< HTTP, readiness for the platform's routers
     endpoint metrics;            ///< HTTP, metrics for operators
-    endpoint peers;              ///< UDP, notes between directors
+    endpoint peers;              ///< UDP, notes between directors about upstreams
+    endpoint news;               ///< UDP, news of the store between directors
     endpoint store;              ///< the platform's key-value store
     std::int64_t most_memory_mb{0};
     std::string log_level{"info"};
--- /dev/null
+++ b/apps/director/news_exchange.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "peer_socket.hpp"
+
+#include <guavaramp/director/news_relay.hpp>
+
+#include <asio.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace guavaramp {
+
+/// From where a director takes news of the store.
+struct news_source {
+    bool reads{false};          ///< it is a reader
+    mono_time follows_until{};  ///< deadline until which others' news take the place of its own watches
+    std::optional<relay_coverage> coverage;
+};
+
+/// What the exchange asks of its owner, and tells it. All run on the Asio context's thread.
+struct news_hooks {
+    /// The own report; nothing while the store does not answer.
+    std::function<std::optional<reader_report>()> report;
+    std::function<listing_state()> listing;
+    std::function<void(const listing_delta&)> apply;
+    std::function<void(const news_source&)> source_changed;
+};
+
+/// Passes news of the store on to the directors of the own failure domain, and takes theirs. To be used on
+/// the thread of the Asio context only.
+class news_exchange {
+public:
+    /// `context` and `io` outlive the exchange.
+    news_exchange(asio::io_context& io, director_context& context, peer_socket socket, news_hooks hooks);
+
+    /// Binds the socket for it. Errors: `unavailable`.
+    [[nodiscard]] static result<peer_socket> open_socket(director_context& context);
+
+    /// Starts to listen. Goes on until the context's end.
+    void start();
+
+    /// Tells the others what has changed, if this director is a reader.
+    void announce(const std::optional<listing_delta>& delta);
+
+private:
+    void wait_for_messages();
+    void handle(const endpoint& sender, std::span<const std::byte> payload);
+    void wake();
+    void wait_until(mono_time reconsider_at);
+    void greet_once();
+    /// Returns when to look again if no message comes.
+    mono_time update_source();
+    void send_to_all(const relay_message& message);
+    [[nodiscard]] std::vector<endpoint> listed_peers();
+
+    director_context& context_;
+    peer_socket socket_;
+    asio::posix::stream_descriptor readable_;
+    asio::steady_timer timer_;
+    news_hooks hooks_;
+    news_relay relay_;
+    news_source source_;
+    /// Directors that the roster does not name yet, with the deadline until which they get reports.
+    std::map<endpoint, mono_time> greeted_;
+    reader_role role_;
+    mono_time report_at_{};
+    bool has_greeted_{false};
+    counter& oversized_;
+};
+
+}  // namespace guavaramp
--- a/apps/director/peer_link.hpp
+++ b/apps/director/peer_link.hpp
@@ -1,20 +1,15 @@
 #pragma once
 
-#include "director_context.hpp"
+#include "peer_socket.hpp"
 
-#include <guavaramp/base/token_bucket.hpp>
-#include <guavaramp/net/udp_socket.hpp>
+#include <guavaramp/director/peers.hpp>
 
 #include <functional>
-#include <memory>
 #include <span>
-#include <string>
-#include <vector>
 
 namespace guavaramp {
 
-/// Sends and receives notes between directors: CBOR over UDP, signed with the fleet's key for its sender and
-/// receiver, each message accepted once. Without a roster nothing is sent or accepted. Not thread-safe: the
+/// Sends and receives notes about upstreams between the directors of a failure domain. Not thread-safe: the
 /// packet thread owns it.
 class peer_link {
 public:
@@ -37,23 +32,9 @@
     void receive(const note_handler& handle);
 
 private:
-    peer_link(director_context& context, udp_socket socket);
-
-    void refresh_roster();
-    void send_message(const endpoint& receiver, std::span<const host_note> notes, mono_time now);
-    [[nodiscard]] result<peer_message> accept(const datagram& received);
-    void count_refused(error_kind kind);
-
-    director_context& context_;
-    udp_socket socket_;
-    std::shared_ptr<const fleet_roster> roster_;
-    std::uint64_t roster_version_{0};
-    std::uint64_t sequence_{0};
-    replay_guard replays_;
-    token_bucket budget_;
-    counter& sent_;
-    counter& received_;
-    counter& unsent_;
+    explicit peer_link(peer_socket socket) : socket_(std::move(socket)) {}
+
+    peer_socket socket_;
 };
 
 }  // namespace guavaramp
--- a/apps/director/roster_keeper.cpp
+++ b/apps/director/roster_keeper.cpp
@@ -50,14 +50,17 @@
             return start_lease();
         case registration_step::write_entry:
             return write_entry();
+        case registration_step::write_key:
+            return write_key();
         case registration_step::renew_lease:
             return renew_lease();
     }
 }
 
 void roster_keeper::read_fleet() {
-    // The entry of a director that has just started may be missing from a cached answer; the next one has it.
-    const auto mode = state_.incarnation == 0 ? read_mode::newest : read_mode::cached;
+    // What is missing from a cached answer is in the next one; a fleet key that was missing makes the write
+    // fail.
+    const auto mode = state_.needs_newest ? read_mode::newest : read_mode::cached;
     session_.get(page_target(fleet_prefix, "", mode), now() + call_timeout,
                  [this](const result<http_response>& answer) { fleet_read(answer); });
 }
@@ -69,20 +72,23 @@
         return;
     }
     roster_.peers.clear();
-    bool has_own = false;
+    fleet_reading reading;
     for (const auto& item : page->items) {
         if (item.key == fleet_key_key) {
             roster_.keys.keys = {item.value};
             continue;
         }
-        has_own = has_own || item.key == own_key(context_.settings);
+        // Keys come in order.
+        reading.has_own = reading.has_own || item.key == own_key(context_.settings);
+        reading.entries_before_own += reading.has_own ? 0 : 1;
         const auto peer = decode_director_entry(item.value);
         if (peer && peer->failure_domain == context_.settings.failure_domain &&
             peer->address != context_.settings.peers) {
             roster_.peers.push_back(*peer);
         }
     }
-    note_fleet_read(state_, {.has_key = !roster_.keys.keys.empty(), .has_own = has_own}, now());
+    reading.has_key = !roster_.keys.keys.empty();
+    note_fleet_read(state_, reading, now());
     publish();
     wait_for_step();
 }
@@ -101,16 +107,11 @@
 }
 
 void roster_keeper::write_entry() {
-    std::vector<store_put> puts{
-        {.key = own_key(context_.settings),
-         .value = encode_director_entry(
-             {.address = context_.settings.peers, .failure_domain = context_.settings.failure_domain}),
-         .lease = state_.lease}};
-    if (!state_.fleet_key_known) {
-        puts.push_back(
-            {.key = std::string{fleet_key_key}, .value = make_fleet_key(), .only_if_absent = true});
-    }
-    const auto call = write_call(puts);
+    const director_peer self{.address = context_.settings.peers,
+                             .news = context_.settings.news,
+                             .failure_domain = context_.settings.failure_domain};
+    const auto call = write_call(
+        {{.key = own_key(context_.settings), .value = encode_director_entry(self), .lease = state_.lease}});
     session_.post(call.target, call.body, now() + call_timeout, [this](const result<http_response>& answer) {
         const auto revision = decode_answer(answer, decode_write);
         if (!revision) {
@@ -119,6 +120,22 @@
         }
         note_entry_written(state_, *revision, now());
         log_event(log_level::info, "registered", {{"incarnation", std::to_string(*revision)}});
+        publish();
+        wait_for_step();
+    });
+}
+
+void roster_keeper::write_key() {
+    const auto call =
+        write_call({{.key = std::string{fleet_key_key}, .value = make_fleet_key(), .only_if_absent = true}});
+    session_.post(call.target, call.body, now() + call_timeout, [this](const result<http_response>& answer) {
+        const auto revision = decode_answer(answer, decode_write);
+        if (!revision) {
+            failed(revision.error());
+            return;
+        }
+        note_key_written(state_, now());
+        log_event(log_level::info, "fleet_key_written", {{"revision", std::to_string(*revision)}});
         wait_for_step();
     });
 }
--- a/apps/director/roster_keeper.hpp
+++ b/apps/director/roster_keeper.hpp
@@ -28,6 +28,7 @@
     void fleet_read(const result<http_response>& answer);
     void start_lease();
     void write_entry();
+    void write_key();
     void renew_lease();
     void failed(const error& failure);
     void publish();
--- a/apps/director/store_reader.cpp
+++ b/apps/director/store_reader.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 
 namespace guavaramp {
 namespace {
@@ -38,6 +39,12 @@
     return changed;
 }
 
+std::uint32_t age_ms(mono_time then, mono_time time) noexcept {
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(time - then).count();
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
 std::size_t count_unreadable(const upstream_directory& directory) {
     return static_cast<std::size_t>(
         std::count_if(directory.by_id.begin(), directory.by_id.end(), [](const auto& item) {
@@ -55,10 +62,16 @@
       check_timer_(io),
       check_session_(io, context.settings.store),
       whole_reads_(context.counters.get("store_reads_total", "Readings of the platform's store", "whole")),
+      cached_reads_(context.counters.get("store_reads_total", "Readings of the platform's store", "cached")),
       watches_(context.counters.get("store_reads_total", "Readings of the platform's store", "watch")),
       checks_(context.counters.get("store_reads_total", "Readings of the platform's store", "check")),
       missed_changes_(context.counters.get("watch_missed_changes_total",
                                            "Changes that a check showed before their watch did")),
+      histories_lost_(context.counters.get("store_histories_lost_total",
+                                           "Watches whose history the store had discarded")),
+      relayed_changes_(
+          context.counters.get("news_applied_total", "News of other directors that were applied")),
+      relay_gaps_(context.counters.get("news_gaps_total", "News that follow something unknown here")),
       read_times_(
           context.counters.get_latency("store_read_seconds", "Duration of whole readings of the store")),
       read_failures_(context.counters.get("store_read_failures_total", "Readings without a usable answer")),
@@ -71,11 +84,69 @@
     view_.own_failure_domain = context.settings.failure_domain;
 }
 
-void store_reader::start() {
+void store_reader::start(std::function<void(const std::optional<listing_delta>&)> announce) {
+    announce_ = std::move(announce);
     read_due();
     check_next();
 }
 
+std::optional<reader_report> store_reader::report() const {
+    const bool complete = configuration_revision_ != 0 && listing_revision_ != 0;
+    if (!complete || sync_.steady_since == mono_time::max()) {
+        return std::nullopt;
+    }
+    const auto time = now();
+    return reader_report{.listing = listing(),
+                         .configuration_revision = configuration_revision_,
+                         .verified_age_ms = age_ms(listing_verified_at_, time),
+                         .steady_age_ms = age_ms(sync_.steady_since, time)};
+}
+
+listing_state store_reader::listing() const noexcept {
+    return {.revision = listing_.watched_revision, .digest = listing_digest_};
+}
+
+void store_reader::apply_relayed(const listing_delta& delta) {
+    if (listing_revision_ == 0 || delta.news.revision <= listing_.watched_revision) {
+        return;
+    }
+    if (delta.after_revision > listing_.watched_revision) {
+        relay_gaps_.add();
+        return;
+    }
+    relayed_changes_.add();
+    listing_.watched_revision = delta.news.revision;
+    listing_revision_ = std::max(listing_revision_, delta.news.revision);
+    const auto time = now();
+    apply_changes(apply_news(directory_, delta.news, time, time - keep_unlisted), "director");
+    publish();
+}
+
+bool store_reader::follows() const noexcept { return !source_.reads && source_.coverage.has_value(); }
+
+void store_reader::follow(const news_source& source) {
+    const bool takes_over = source.reads && !source_.reads;
+    source_ = source;
+    note_coverage(sync_, source.follows_until);
+    const auto coverage = source.coverage.value_or(relay_coverage{});
+    if (listing_revision_ != 0) {
+        listing_.watched_revision = std::max(listing_.watched_revision, coverage.confirmed_revision);
+    }
+    note_behind(sync_, store_subject::listing, coverage.listing_differs, now());
+    note_behind(sync_, store_subject::configuration,
+                coverage.configuration_revision > configuration_revision_, now());
+    if (follows()) {
+        routes_read_until_ = mono_time{};
+    }
+    publish();
+    read_due();
+    if (takes_over && !check_session_.is_busy()) {
+        // Others rely on a reader whose listing was lately shown to be complete.
+        check_timer_.cancel();
+        check(store_subject::listing);
+    }
+}
+
 void store_reader::reread_listing() {
     if (now() >= listing_.started + least_reread_period) {
         reread(store_subject::listing);
@@ -96,32 +167,36 @@
 void store_reader::check_next() {
     check_timer_.expires_after(check_period);
     check_timer_.async_wait([this](const std::error_code& failure) {
-        if (failure) {
-            return;
-        }
-        const auto subject = next_check_;
-        const bool is_configuration = subject == store_subject::configuration;
-        next_check_ = is_configuration ? store_subject::listing : store_subject::configuration;
-        // Before the first whole reading there is nothing to check, and after a failure one follows anyway.
-        const bool too_early = is_configuration && now() < configuration_check_at_;
-        if (sync_of(sync_, subject).read_whole || too_early) {
-            check_next();
-            return;
+        if (!failure) {
+            check(next_check_);
         }
-        checks_.add();
-        const auto target = is_configuration ? item_target(configuration_key, read_mode::cached)
-                                             : page_target(upstream_prefix, "", read_mode::cached);
-        check_session_.get(target, now() + read_timeout,
-                           [this, is_configuration](const result<http_response>& answer) {
-                               is_configuration ? check_configuration(answer) : check_listing(answer);
-                           });
     });
 }
 
+void store_reader::check(store_subject subject) {
+    const bool is_configuration = subject == store_subject::configuration;
+    next_check_ = is_configuration ? store_subject::listing : store_subject::configuration;
+    // Before the first whole reading there is nothing to check, and after a failure one follows anyway.
+    const bool too_early = is_configuration && now() < configuration_check_at_;
+    if (sync_of(sync_, subject).read_whole || too_early || follows()) {
+        check_next();
+        return;
+    }
+    checks_.add();
+    check_started_ = now();
+    const auto target = is_configuration ? item_target(configuration_key, read_mode::cached)
+                                         : page_target(upstream_prefix, "", read_mode::cached);
+    check_session_.get(target, now() + read_timeout,
+                       [this, is_configuration](const result<http_response>& answer) {
+                           is_configuration ? check_configuration(answer) : check_listing(answer);
+                       });
+}
+
 void store_reader::check_configuration(const result<http_response>& answer) {
     const auto item = decode_answer(answer, decode_item);
     configuration_check_at_ = next_check_at(answer ? answer->body.size() : 0, now());
-    check_ended(store_subject::configuration, item && item->revision > configuration_revision_);
+    check_ended(store_subject::configuration, item.has_value(),
+                item && item->revision > configuration_revision_);
 }
 
 void store_reader::check_listing(const result<http_response>& answer) {
@@ -135,10 +210,10 @@
             listing.reports.push_back(decode_upstream(item));
         }
     }
-    check_ended(store_subject::listing, page && shows_missed_change(directory_, listing));
+    check_ended(store_subject::listing, page.has_value(), page && shows_missed_change(directory_, listing));
 }
 
-void store_reader::check_ended(store_subject subject, bool missed) {
+void store_reader::check_ended(store_subject subject, bool answered, bool missed) {
     const auto& reading = subject == store_subject::configuration ? configuration_ : listing_;
     const auto& state = sync_of(sync_, subject);
     const bool watching = state.reading && !state.read_whole && now() >= reading.started + least_watched_time;
@@ -146,6 +221,15 @@
         missed_changes_.add();
         log_event(log_level::info, "watch_missed_change", {{"reading", to_text(subject)}});
         reread(subject);
+    } else if (answered && subject == store_subject::listing) {
+        const bool was_long_ago = check_started_ - listing_verified_at_ > longest_verified_age;
+        listing_verified_at_ = std::max(listing_verified_at_, check_started_);
+        if (was_long_ago) {
+            announce_(std::nullopt);
+        }
+    } else if (answered && watching) {
+        routes_read_until_ = now() + watch_wait + read_timeout;
+        publish();
     }
     check_next();
 }
@@ -159,19 +243,19 @@
     due_reading due{};
     if (start_if_due(sync_, store_subject::configuration, now(), due)) {
         configuration_.started = now();
-        if (due.whole) {
-            read_configuration();
-        } else {
+        if (due.kind == reading_kind::watch) {
             watch(store_subject::configuration, operator_prefix, &store_reader::configuration_watched);
+        } else {
+            read_configuration(due.kind);
         }
     }
     if (start_if_due(sync_, store_subject::listing, now(), due)) {
         listing_.started = now();
-        if (due.whole) {
+        if (due.kind == reading_kind::watch) {
+            watch(store_subject::listing, upstream_prefix, &store_reader::listing_watched);
+        } else {
             pages_ = {};
             read_page("");
-        } else {
-            watch(store_subject::listing, upstream_prefix, &store_reader::listing_watched);
         }
     }
     const auto next = next_reading_at(sync_);
@@ -195,14 +279,16 @@
                         [this, answered](const result<http_response>& answer) { (this->*answered)(answer); });
 }
 
-void store_reader::read_configuration() {
-    whole_reads_.add();
+void store_reader::read_configuration(reading_kind kind) {
+    const bool cached = kind == reading_kind::whole_cached;
+    (cached ? cached_reads_ : whole_reads_).add();
     configuration_.session.get(
-        item_target(configuration_key, read_mode::newest), configuration_.started + read_timeout,
-        [this](const result<http_response>& answer) { configuration_answered(answer); });
+        item_target(configuration_key, cached ? read_mode::cached : read_mode::newest),
+        configuration_.started + read_timeout,
+        [this, kind](const result<http_response>& answer) { configuration_answered(kind, answer); });
 }
 
-void store_reader::configuration_answered(const result<http_response>& answer) {
+void store_reader::configuration_answered(reading_kind kind, const result<http_response>& answer) {
     const auto item = decode_answer(answer, decode_item);
     if (!item && item.error().kind == error_kind::not_found) {
         // The operator writes the first configuration some time after the fleet has started.
@@ -215,13 +301,21 @@
         return;
     }
     apply_configuration(*item);
-    succeeded({.subject = store_subject::configuration, .whole = true}, item->store_revision);
+    const auto named = source_.coverage ? source_.coverage->configuration_revision : 0;
+    if (kind == reading_kind::whole_cached && item->revision < named) {
+        note_old_reading(sync_, store_subject::configuration, now());
+        read_due();
+        return;
+    }
+    // The store's revision in a cached answer may be newer than the item.
+    succeeded({.subject = store_subject::configuration, .kind = kind},
+              kind == reading_kind::whole_cached ? item->revision : item->store_revision);
 }
 
 void store_reader::configuration_watched(const result<http_response>& answer) {
     const auto news = decode_answer(answer, decode_news);
     if (!news) {
-        failed(store_subject::configuration, news.error());
+        watch_failed(store_subject::configuration, news.error());
         return;
     }
     for (const auto& item : news->written) {
@@ -229,7 +323,7 @@
             apply_configuration(item);
         }
     }
-    succeeded({.subject = store_subject::configuration, .whole = false}, news->store_revision);
+    succeeded({.subject = store_subject::configuration, .kind = reading_kind::watch}, news->store_revision);
 }
 
 void store_reader::apply_configuration(const store_item& item) {
@@ -259,6 +353,7 @@
                {"revision", std::to_string(item.revision)},
                {"routes", std::to_string(decoded->configuration.routes.size())},
                {"unreadable_routes", std::to_string(decoded->unreadable_routes)}});
+    announce_(std::nullopt);
 }
 
 void store_reader::read_page(const std::string& after_key) {
@@ -285,43 +380,72 @@
         return;
     }
     const auto time = now();
-    apply_changes(apply_listing(directory_, pages_, time, time - keep_unlisted));
+    const auto changes = apply_listing(directory_, pages_, time, time - keep_unlisted);
+    const auto delta = delta_between(listing_revision_, pages_, changes);
+    apply_changes(changes, "store");
     view_.listing_as_of = listing_.started;
-    succeeded({.subject = store_subject::listing, .whole = true}, pages_.revision);
+    listing_verified_at_ = listing_.started;
+    listing_revision_ = pages_.revision;
+    succeeded({.subject = store_subject::listing, .kind = reading_kind::whole}, pages_.revision);
+    announce_(delta);
 }
 
 void store_reader::listing_watched(const result<http_response>& answer) {
     const auto news = decode_answer(answer, decode_news);
     if (!news) {
-        failed(store_subject::listing, news.error());
+        watch_failed(store_subject::listing, news.error());
         return;
     }
     const auto time = now();
-    apply_changes(apply_news(directory_, to_upstream_news(*news), time, time - keep_unlisted));
-    succeeded({.subject = store_subject::listing, .whole = false}, news->store_revision);
+    const listing_delta delta{.after_revision = listing_revision_, .news = to_upstream_news(*news)};
+    apply_changes(apply_news(directory_, delta.news, time, time - keep_unlisted), "store");
+    listing_verified_at_ = time;
+    const bool changed = !news->written.empty() || !news->deleted.empty();
+    if (changed) {
+        listing_revision_ = std::max(listing_revision_, news->store_revision);
+    }
+    succeeded({.subject = store_subject::listing, .kind = reading_kind::watch}, news->store_revision);
+    if (changed) {
+        announce_(delta);
+    }
 }
 
-void store_reader::apply_changes(const std::vector<upstream_change>& changes) {
+void store_reader::apply_changes(const std::vector<upstream_change>& changes, std::string_view source) {
     for (const auto& change : changes) {
         log_event(log_level::info, "upstream_changed",
                   {{"upstream", change.id},
                    {"change", std::string{to_string(change.kind)}},
                    {"phase", std::string{to_string(change.phase)}},
                    {"service", change.service},
-                   {"revision", std::to_string(change.revision)}});
+                   {"revision", std::to_string(change.revision)},
+                   {"source", std::string{source}}});
     }
+    listing_digest_ = digest_of(directory_);
     unreadable_entries_.set(count_unreadable(directory_));
     view_.upstreams = std::make_shared<const upstream_index>(make_upstream_index(directory_));
 }
 
+void store_reader::watch_failed(store_subject subject, const error& failure) {
+    if (failure.kind != error_kind::not_found) {
+        failed(subject, failure);
+        return;
+    }
+    // The store answers; only what happened since the last reading is no longer to be had from it.
+    histories_lost_.add();
+    log_event(log_level::info, "watch_history_discarded",
+              {{"reading", to_text(subject)}, {"message", failure.message}});
+    note_history_lost(sync_, subject, now());
+    read_due();
+}
+
 void store_reader::failed(store_subject subject, const error& failure) {
     read_failures_.add();
-    if (note_read_failure(sync_, subject, now())) {
+    if (note_read_failure(sync_, subject, source_.coverage.has_value(), now())) {
         log_event(log_level::warning, "store_lost",
                   {{"reading", to_text(subject)}, {"message", failure.message}});
     }
     if (subject == store_subject::configuration) {
-        view_.routes_trusted_until = now();
+        routes_read_until_ = mono_time{};
     }
     publish();
     read_due();
@@ -330,15 +454,15 @@
 void store_reader::succeeded(const due_reading& reading, std::uint64_t store_revision) {
     auto& subject = reading.subject == store_subject::configuration ? configuration_ : listing_;
     // A whole reading sets the revision anew; the store's history may have started over.
-    subject.watched_revision =
-        reading.whole ? store_revision : std::max(subject.watched_revision, store_revision);
-    if (reading.whole) {
+    const bool whole = reading.kind == reading_kind::whole;
+    subject.watched_revision = whole ? store_revision : std::max(subject.watched_revision, store_revision);
+    if (whole) {
         read_times_.add(now() - subject.started);
     }
     const bool was_steady = sync_.steady_since != mono_time::max();
     note_read(sync_, reading, subject.started, now());
     if (reading.subject == store_subject::configuration) {
-        view_.routes_trusted_until = now() + watch_wait + read_timeout;
+        routes_read_until_ = now() + watch_wait + read_timeout;
     }
     if (!was_steady) {
         log_event(log_level::info, "store_regained", {{"reading", to_text(reading.subject)}});
@@ -348,7 +472,11 @@
 }
 
 void store_reader::publish() {
-    view_.steady_since = sync_.steady_since;
+    const bool lost = sync_.steady_since == mono_time::max();
+    const bool relies = source_.coverage && (follows() || lost);
+    view_.steady_since = relies ? source_.coverage->steady_since : sync_.steady_since;
+    const bool newest = relies && source_.coverage->configuration_revision <= configuration_revision_;
+    view_.routes_trusted_until = newest ? source_.coverage->until : routes_read_until_;
     context_.view.set(std::make_shared<const fleet_view>(view_));
 }
 
--- a/apps/director/store_reader.hpp
+++ b/apps/director/store_reader.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "director_context.hpp"
+#include "news_exchange.hpp"
 
 #include <guavaramp/director/store_sync.hpp>
 #include <guavaramp/net/http_session.hpp>
@@ -8,20 +9,35 @@
 
 #include <asio.hpp>
 
+#include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace guavaramp {
 
 /// Reads configuration and upstreams from the platform's store when `store_sync` says so: each once in whole,
-/// then by watches; in whole again after any failure. Publishes a `fleet_view` after each reading. To be used
-/// on the thread of the Asio context only.
+/// then by watches or by the news of other directors; in whole again after any failure. Publishes a
+/// `fleet_view` after each reading. To be used on the thread of the Asio context only.
 class store_reader {
 public:
     store_reader(asio::io_context& io, director_context& context);
 
-    /// Starts the first readings. They go on until the context's end.
-    void start();
+    /// Starts the first readings. They go on until the context's end. `announce` runs after each change of
+    /// the listing that the store has shown, and after each new configuration (then without a delta).
+    void start(std::function<void(const std::optional<listing_delta>&)> announce);
+
+    /// What this director can tell others of the store; nothing while the store does not answer it.
+    [[nodiscard]] std::optional<reader_report> report() const;
+
+    /// What this director knows of the listing.
+    [[nodiscard]] listing_state listing() const noexcept;
+
+    /// Applies what another director has read, unless something before it is missing here.
+    void apply_relayed(const listing_delta& delta);
+
+    /// Reads the store itself or relies on others, as `source` says.
+    void follow(const news_source& source);
 
     /// Reads the listing in whole again: a packet names an upstream that is not known.
     void reread_listing();
@@ -40,19 +56,22 @@
     void read_due();
     void reread(store_subject subject);
     void check_next();
+    void check(store_subject subject);
     void check_configuration(const result<http_response>& answer);
     void check_listing(const result<http_response>& answer);
-    void check_ended(store_subject subject, bool missed);
-    void read_configuration();
-    void configuration_answered(const result<http_response>& answer);
+    void check_ended(store_subject subject, bool answered, bool missed);
+    void read_configuration(reading_kind kind);
+    void configuration_answered(reading_kind kind, const result<http_response>& answer);
     void configuration_watched(const result<http_response>& answer);
     void apply_configuration(const platform_adapter::store_item& item);
     void read_page(const std::string& after_key);
     void page_answered(const result<http_response>& answer);
     void listing_watched(const result<http_response>& answer);
-    void apply_changes(const std::vector<upstream_change>& changes);
+    void apply_changes(const std::vector<upstream_change>& changes, std::string_view source);
+    [[nodiscard]] bool follows() const noexcept;
     void watch(store_subject subject, std::string_view prefix,
                void (store_reader::*answered)(const result<http_response>&));
+    void watch_failed(store_subject subject, const error& failure);
     void failed(store_subject subject, const error& failure);
     void succeeded(const due_reading& reading, std::uint64_t store_revision);
     void publish();
@@ -63,17 +82,29 @@
     subject_reading listing_;
     asio::steady_timer check_timer_;
     http_session check_session_;
+    mono_time check_started_{};
     store_subject next_check_{store_subject::configuration};
     mono_time configuration_check_at_{};  ///< not before; large ones are checked less often
     store_sync sync_;
     upstream_directory directory_;
     upstream_listing pages_;  ///< of the whole reading in progress
     fleet_view view_;
+    std::function<void(const std::optional<listing_delta>&)> announce_;
+    news_source source_;
     std::uint64_t configuration_revision_{0};  ///< of the version in force
+    std::uint64_t listing_revision_{0};        ///< of the last change of the listing that is known
+    std::uint64_t listing_digest_{0};
+    mono_time listing_verified_at_{};  ///< when the store last showed the listing to be complete
+    /// Deadline until which this director's own readings show `view_.routes` to be the newest.
+    mono_time routes_read_until_{};
     counter& whole_reads_;
+    counter& cached_reads_;
     counter& watches_;
     counter& checks_;
     counter& missed_changes_;
+    counter& histories_lost_;
+    counter& relayed_changes_;
+    counter& relay_gaps_;
     latency_histogram& read_times_;
     counter& read_failures_;
     counter& unreadable_entries_;
--- /dev/null
+++ b/libs/director/include/guavaramp/director/news_relay.hpp
@@ -0,0 +1,145 @@
+#pragma once
+
+#include <guavaramp/base/address.hpp>
+#include <guavaramp/base/error.hpp>
+#include <guavaramp/base/time.hpp>
+#include <guavaramp/director/upstreams.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace guavaramp {
+
+/// A few directors of each failure domain watch the platform's store; they are its readers. The others take
+/// what has changed from them, so that calls to the store do not grow with the fleet. Every director can
+/// become a reader at any time and does so by itself when it hears too few; nothing is elected.
+
+/// Directors of a failure domain that read the store: two, so that the loss of one leaves no gap.
+inline constexpr std::ptrdiff_t readers_per_failure_domain = 2;
+/// Period of a reader's reports while nothing changes. With 133 directors in a failure domain, the design
+/// size, 100 bytes each take 19 KB/s at a reader, the budget for control.
+inline constexpr auto report_period = std::chrono::milliseconds{700};
+/// How long a report stands for its sender: two may be lost. Half of the 3 s in which a drain must be in
+/// force; the other half is for the director's own reading.
+inline constexpr auto report_validity = std::chrono::milliseconds{1500};
+/// A reader is not relied on when its last proof of a complete listing is older: it checks each 1.5 s.
+inline constexpr auto longest_verified_age = std::chrono::milliseconds{2000};
+/// Time between the directors that may take over from a reader: a report's way inside a failure domain and
+/// the receiver's wake-up, on a slow machine.
+inline constexpr auto takeover_step = std::chrono::milliseconds{50};
+/// Directors that are waited for in turn; all others follow at once. With `report_validity` a director is
+/// without news for 1.9 s at most.
+inline constexpr std::ptrdiff_t most_takeover_steps = 8;
+/// How long a director listens that does not know the others yet: their names are in the store within some
+/// hundred milliseconds of a start of the whole fleet.
+inline constexpr auto listening_without_roster = std::chrono::milliseconds{1500};
+/// Entries of one message. With an entry of about 160 bytes the message stays below the path MTU.
+inline constexpr std::size_t most_relayed_entries = 7;
+
+/// What a director knows of the listing.
+struct listing_state {
+    std::uint64_t revision{0};  ///< it knows every change up to here
+    std::uint64_t digest{0};    ///< of the listed entries, see `digest_of`
+
+    friend bool operator==(const listing_state&, const listing_state&) = default;
+};
+
+/// What a reader says of itself with each message.
+struct reader_report {
+    listing_state listing;
+    std::uint64_t configuration_revision{0};  ///< of the configuration in force there
+    std::uint32_t verified_age_ms{0};         ///< since the store last showed that its listing is complete
+    std::uint32_t steady_age_ms{0};           ///< since when the store has answered it without a failure
+
+    friend bool operator==(const reader_report&, const reader_report&) = default;
+};
+
+/// All changes of the listing after `after_revision`, up to `news.revision`.
+struct listing_delta {
+    std::uint64_t after_revision{0};
+    upstream_news news;
+
+    friend bool operator==(const listing_delta&, const listing_delta&) = default;
+};
+
+struct relay_message {
+    reader_report report;
+    std::optional<listing_delta> delta;
+
+    friend bool operator==(const relay_message&, const relay_message&) = default;
+};
+
+/// CBOR form, without authentication. Thread-safe.
+[[nodiscard]] std::vector<std::uint8_t> encode_relay_message(const relay_message& message);
+
+/// Inverse of `encode_relay_message`. Errors: `malformed`. Thread-safe.
+[[nodiscard]] result<relay_message> decode_relay_message(std::span<const std::byte> bytes);
+
+/// Splits `delta` into parts that each fit a message and that follow one another without a gap. Changes of
+/// one revision stay together, so a part may hold more than `most_relayed_entries`. Thread-safe.
+[[nodiscard]] std::vector<listing_delta> split_delta(const listing_delta& delta);
+
+/// The delta that leads from a listing known up to `after_revision` to `listing`, when applying it made
+/// `changes`. Thread-safe.
+[[nodiscard]] listing_delta delta_between(std::uint64_t after_revision, const upstream_listing& listing,
+                                          std::span<const upstream_change> changes);
+
+/// The readers that this director has heard, by the socket of their news. Not thread-safe.
+struct known_reader {
+    reader_report report;
+    mono_time heard_at{};
+};
+struct news_relay {
+    std::map<endpoint, known_reader> readers;
+};
+
+/// The report of a director that is no reader. It makes the sender known to the readers. Thread-safe.
+[[nodiscard]] reader_report make_greeting() noexcept;
+
+/// Remembers a report of another director, and forgets readers that have long been silent. Not thread-safe.
+void note_report(news_relay& relay, const endpoint& sender, const reader_report& report, mono_time now);
+
+/// Whether a director is a reader.
+struct reader_role {
+    bool reads{false};
+    /// Since when it hears fewer reliable readers before it than a failure domain needs; the maximum: enough.
+    mono_time short_since{mono_time::max()};
+    /// Deadline until which it only listens, because readers may not have been heard yet.
+    mono_time listens_until{mono_time::max()};
+};
+
+/// The role of a director that has just started. Thread-safe.
+[[nodiscard]] reader_role make_role(mono_time now) noexcept;
+
+/// The store has named all directors of the failure domain: `others` are the sockets of their news. One that
+/// ranks before most of them need not listen any longer. Not thread-safe.
+void note_roster(reader_role& role, const endpoint& self, std::span<const endpoint> others, mono_time now);
+
+/// Decides whether this director is a reader now. Directors are ranked; a reader that hears enough reliable
+/// ones before it gives way, and when readers are missing those that rank next take over one after the
+/// other, so that not all do. Returns when to decide again if no message comes. Not thread-safe.
+[[nodiscard]] mono_time update_role(reader_role& role, const news_relay& relay, const endpoint& self,
+                                    std::span<const endpoint> others, mono_time now);
+
+/// What other directors' reports vouch for together.
+struct relay_coverage {
+    mono_time until{};                        ///< deadline
+    std::uint64_t confirmed_revision{0};      ///< the own listing is complete up to here; 0: not confirmed
+    bool listing_differs{false};              ///< a reader knows a change that is missing here
+    std::uint64_t configuration_revision{0};  ///< newest one that a reader has
+    mono_time steady_since{};                 ///< the store has answered all reliable readers since then
+
+    friend bool operator==(const relay_coverage&, const relay_coverage&) = default;
+};
+
+/// The coverage of a director with the listing `own` by reliable readers; nothing when there is none. Not
+/// thread-safe.
+[[nodiscard]] std::optional<relay_coverage> coverage_at(const news_relay& relay, const listing_state& own,
+                                                        mono_time now);
+
+}  // namespace guavaramp
--- a/libs/director/include/guavaramp/director/peers.hpp
+++ b/libs/director/include/guavaramp/director/peers.hpp
@@ -18,7 +18,8 @@
 
 /// Another director.
 struct director_peer {
-    endpoint address;
+    endpoint address;  ///< takes notes about upstreams
+    endpoint news;     ///< takes news of the store
     std::string failure_domain;
 
     friend bool operator==(const director_peer&, const director_peer&) = default;
@@ -42,23 +43,14 @@
     friend bool operator==(const host_note&, const host_note&) = default;
 };
 
-/// Notes in one datagram. A sender is known by its address; of its messages each is accepted once.
-struct peer_message {
-    std::uint64_t incarnation{0};  ///< grows with each start of the sender
-    std::uint64_t sequence{0};     ///< grows with each message of one incarnation
-    std::vector<host_note> notes;
-
-    friend bool operator==(const peer_message&, const peer_message&) = default;
-};
-
 /// Most notes of one message; with them it stays below the path MTU.
 inline constexpr std::size_t most_notes = 64;
 
-/// CBOR form of a message, without authentication. Precondition: at most `most_notes` notes. Thread-safe.
-[[nodiscard]] std::vector<std::uint8_t> encode_peer_message(const peer_message& message);
+/// CBOR form of notes, without authentication. Precondition: at most `most_notes` notes. Thread-safe.
+[[nodiscard]] std::vector<std::uint8_t> encode_notes(std::span<const host_note> notes);
 
-/// Inverse of `encode_peer_message`. Errors: `malformed`. Thread-safe.
-[[nodiscard]] result<peer_message> decode_peer_message(std::span<const std::byte> bytes);
+/// Inverse of `encode_notes`. Errors: `malformed`. Thread-safe.
+[[nodiscard]] result<std::vector<host_note>> decode_notes(std::span<const std::byte> bytes);
 
 /// A director's entry in the platform's store, as JSON. Thread-safe.
 [[nodiscard]] std::string encode_director_entry(const director_peer& peer);
--- a/libs/director/include/guavaramp/director/registration.hpp
+++ b/libs/director/include/guavaramp/director/registration.hpp
@@ -17,22 +17,30 @@
 /// Wait after a failure. Registration is never urgent.
 inline constexpr auto registration_retry_wait = std::chrono::milliseconds{1000};
 
+/// Wait between readings while the fleet has no key yet.
+inline constexpr auto fleet_key_wait = std::chrono::milliseconds{300};
+/// Directors that write the fleet's key when there is none; with each further reading that shows none, as
+/// many more. The others would only be refused, which costs as much as a call that succeeds.
+inline constexpr std::uint32_t key_writers = 2;
+
 /// What to do next.
 enum class registration_step : std::uint8_t {
     read_fleet,   ///< read the fleet's key and the others' entries
     start_lease,  ///< start a lease
-    write_entry,  ///< write the own entry under the lease, and the fleet's key if there is none
+    write_entry,  ///< write the own entry under the lease
+    write_key,    ///< write the fleet's key unless there is one
     renew_lease   ///< renew it; then read the others again
 };
 
 struct registration {
     registration_step next{registration_step::read_fleet};
     mono_time next_at{};
-    bool in_progress{false};
-    bool fleet_key_known{false};
-    std::uint32_t reads_without_own{0};  ///< in a row, since the entry was written
-    std::uint64_t lease{0};              ///< 0: none
-    std::uint64_t incarnation{0};        ///< revision of the own entry; 0: not written yet
+    bool needs_newest{false};            ///< a cached reading of the fleet has misled the write that followed
+    std::uint32_t reads_without_own{0};  ///< in a row, long enough after the entry was written
+    std::uint32_t reads_without_key{0};  ///< in a row
+    mono_time entry_written_at{};
+    std::uint64_t lease{0};        ///< 0: none
+    std::uint64_t incarnation{0};  ///< revision of the own entry; 0: not written yet
 };
 
 /// Readings in a row without the own entry that show that it is gone although its lease lives. A single
@@ -43,6 +51,7 @@
 struct fleet_reading {
     bool has_key{false};  ///< the fleet has a key
     bool has_own{false};  ///< the own entry is there
+    std::uint32_t entries_before_own{0};
 };
 
 /// The fleet has been read. Begins anew when the own entry has gone. Not thread-safe.
@@ -54,6 +63,9 @@
 /// The own entry is written, at `revision`. Not thread-safe.
 void note_entry_written(registration& state, std::uint64_t revision, mono_time now) noexcept;
 
+/// The fleet's key is written. Not thread-safe.
+void note_key_written(registration& state, mono_time now) noexcept;
+
 /// The lease was renewed. Not thread-safe.
 void note_lease_renewed(registration& state, mono_time now) noexcept;
 
--- a/libs/director/include/guavaramp/director/store_sync.hpp
+++ b/libs/director/include/guavaramp/director/store_sync.hpp
@@ -40,24 +40,52 @@
 /// How long after the store's return an upstream may take to be listed again: two seconds by its contract,
 /// and one reading.
 inline constexpr auto relisting_time = std::chrono::milliseconds{2500};
+/// How long a director that takes news of the listing from others waits for a lost message before it asks the
+/// store: the second reader's copy comes within a round trip, a reader's own reading takes some 10 ms.
+inline constexpr auto repair_wait = std::chrono::milliseconds{150};
+/// Wait between cached readings of a configuration that others have already. The platform's cached answers
+/// are usually some hundred milliseconds old.
+inline constexpr auto cached_retry_wait = std::chrono::milliseconds{300};
+/// Cached readings that may be too old before the newest one is asked for: with the waits between them,
+/// `least_configuration_period` here and at the reader, the change is in force within 2.6 of the 3 s.
+inline constexpr std::uint32_t most_cached_readings = 2;
+/// Wait after a reading that failed while other directors' news cover it: the store serves others, and this
+/// director need not press it.
+inline constexpr auto covered_retry_wait = std::chrono::milliseconds{3000};
+
+/// How a subject is read.
+enum class reading_kind : std::uint8_t {
+    whole,         ///< everything, the newest
+    whole_cached,  ///< everything, maybe older; enough when it shows a revision that others have named
+    watch          ///< waits for what changes
+};
+
 /// State of the readings of one subject.
 struct subject_sync {
     mono_time next_at{};
     std::uint32_t failures{0};  ///< in a row
     bool reading{false};
     bool read_whole{true};  ///< the next reading is of everything, not of what has changed
+    bool known{false};      ///< was read at least once
+    bool absent{false};     ///< the last whole reading has shown that it does not exist
+    bool wanted{false};     ///< the next reading does not wait for other directors' news
+    /// Since when other directors are known to have a newer revision; the maximum when none has.
+    mono_time behind_since{mono_time::max()};
+    std::uint32_t old_readings{0};  ///< cached ones in a row that did not show the newer revision
 };
 
 struct store_sync {
     std::array<subject_sync, store_subjects> subjects{};
     mono_time steady_since{
         mono_time::max()};  ///< first success after the last failure; the maximum: none yet
+    /// Deadline until which other directors' news take the place of watches; the epoch for a reader.
+    mono_time covered_until{};
 };
 
 /// A reading to start now.
 struct due_reading {
     store_subject subject;
-    bool whole;  ///< of everything; otherwise a watch for what changes
+    reading_kind kind;
 };
 
 /// The state of `subject`. Thread-safe for different objects.
@@ -71,21 +99,36 @@
 /// A reading that started at `started` has ended well. Not thread-safe.
 void note_read(store_sync& sync, const due_reading& reading, mono_time started, mono_time now) noexcept;
 
-/// A reading has failed. Returns whether this is news: the first failure after a success or the start. Not
-/// thread-safe.
-[[nodiscard]] bool note_read_failure(store_sync& sync, store_subject subject, mono_time now) noexcept;
+/// A cached reading has not shown the revision that others have named. Not thread-safe.
+void note_old_reading(store_sync& sync, store_subject subject, mono_time now) noexcept;
+
+/// A reading has failed; `covered` when other directors' news cover it. Returns whether this is news: the
+/// first failure after a success or the start. Not thread-safe.
+[[nodiscard]] bool note_read_failure(store_sync& sync, store_subject subject, bool covered,
+                                     mono_time now) noexcept;
 
-/// A whole reading has shown that the subject does not exist yet. Not thread-safe.
+/// Sets until when other directors' news take the place of watches. Not thread-safe.
+void note_coverage(store_sync& sync, mono_time until) noexcept;
+
+/// Whether other directors have a newer revision of `subject`. Not thread-safe.
+void note_behind(store_sync& sync, store_subject subject, bool behind, mono_time now) noexcept;
+
+/// A reading has shown that the subject does not exist yet. Cached readings are enough to see it appear. Not
+/// thread-safe.
 void note_absent(store_sync& sync, store_subject subject, mono_time now) noexcept;
 
-/// Makes the next reading of `subject` start now, and one of everything. Precondition: it is not being read.
-/// Not thread-safe.
-void want_whole(store_sync& sync, store_subject subject, mono_time now) noexcept;
+/// The store has discarded the history that a watch needs: everything is read anew, soon. The store has
+/// answered, so this is no failure. Not thread-safe.
+void note_history_lost(store_sync& sync, store_subject subject, mono_time now) noexcept;
+
+/// Makes the next reading of `subject` start at `at`, and one of everything. Precondition: it is not being
+/// read. Not thread-safe.
+void want_whole(store_sync& sync, store_subject subject, mono_time at) noexcept;
 
 /// When a subject may be checked next, after a check whose answer had `bytes`. Thread-safe.
 [[nodiscard]] mono_time next_check_at(std::size_t bytes, mono_time now) noexcept;
 
-/// The earliest time at which a reading is due. Not thread-safe.
+/// The earliest time at which a reading is due; the maximum while all are in progress. Not thread-safe.
 [[nodiscard]] mono_time next_reading_at(const store_sync& sync) noexcept;
 
 }  // namespace guavaramp
--- a/libs/director/include/guavaramp/director/upstreams.hpp
+++ b/libs/director/include/guavaramp/director/upstreams.hpp
@@ -89,6 +89,8 @@
 struct removed_upstream {
     std::string id;
     std::uint64_t revision{0};  ///< of the removal
+
+    friend bool operator==(const removed_upstream&, const removed_upstream&) = default;
 };
 
 /// What has changed since a listing. No id is in both lists.
@@ -96,6 +98,8 @@
     std::uint64_t revision{0};
     std::vector<upstream_report> reports;
     std::vector<removed_upstream> removed;
+
+    friend bool operator==(const upstream_news&, const upstream_news&) = default;
 };
 
 /// Brings the directory up to `listing`. A listing or entry older than what is known changes nothing, because
@@ -114,6 +118,10 @@
 /// newer or unknown, or the absence of one that existed at the listing's revision. Not thread-safe.
 [[nodiscard]] bool shows_missed_change(const upstream_directory& directory, const upstream_listing& listing);
 
+/// A hash of the listed entries and their revisions, whatever their order. Two directors with the same digest
+/// have the same listing. Not thread-safe.
+[[nodiscard]] std::uint64_t digest_of(const upstream_directory& directory) noexcept;
+
 /// An immutable copy of the directory for the packet path. Any thread may read it.
 struct upstream_index {
     std::vector<known_upstream> upstreams;
--- a/libs/director/src/store_sync.cpp
+++ b/libs/director/src/store_sync.cpp
@@ -14,6 +14,38 @@
     return std::min<std::chrono::milliseconds>(retry_wait * (1U << doublings), longest_retry_wait);
 }
 
+bool is_behind(const subject_sync& state) noexcept { return state.behind_since != mono_time::max(); }
+
+/// Whether the subject's watch is left to other directors.
+bool is_covered(const store_sync& sync, const subject_sync& state) noexcept {
+    return state.known && sync.covered_until != mono_time{};
+}
+
+mono_time due_at(const store_sync& sync, store_subject subject) noexcept {
+    const auto& state = sync_of(sync, subject);
+    if (!is_covered(sync, state) || state.wanted) {
+        return state.next_at;
+    }
+    if (!is_behind(state)) {
+        return std::max(state.next_at, sync.covered_until);
+    }
+    const auto patience = subject == store_subject::listing ? repair_wait : std::chrono::milliseconds{0};
+    return std::max(state.next_at, std::min(state.behind_since + patience, sync.covered_until));
+}
+
+reading_kind next_kind(const store_sync& sync, store_subject subject, mono_time now) noexcept {
+    const auto& state = sync_of(sync, subject);
+    if (state.read_whole) {
+        return state.absent ? reading_kind::whole_cached : reading_kind::whole;
+    }
+    const bool fetches = subject == store_subject::configuration && is_covered(sync, state) &&
+                         is_behind(state) && now < sync.covered_until;
+    if (!fetches) {
+        return reading_kind::watch;
+    }
+    return state.old_readings < most_cached_readings ? reading_kind::whole_cached : reading_kind::whole;
+}
+
 }  // namespace
 
 subject_sync& sync_of(store_sync& sync, store_subject subject) noexcept {
@@ -26,11 +58,11 @@
 
 bool start_if_due(store_sync& sync, store_subject subject, mono_time now, due_reading& out) noexcept {
     auto& state = sync_of(sync, subject);
-    if (state.reading || now < state.next_at) {
+    if (state.reading || now < due_at(sync, subject)) {
         return false;
     }
     state.reading = true;
-    out = {.subject = subject, .whole = state.read_whole};
+    out = {.subject = subject, .kind = next_kind(sync, subject, now)};
     return true;
 }
 
@@ -38,18 +70,37 @@
     const bool configuration = reading.subject == store_subject::configuration;
     const auto least_period = configuration ? least_configuration_period : least_listing_period;
     // The first watch follows the reading at once; the time since then is not covered yet.
-    const auto next_at = reading.whole ? now : std::max(now, started + least_period);
-    sync_of(sync, reading.subject) = {.next_at = next_at, .read_whole = false};
+    const auto next_at = reading.kind == reading_kind::whole ? now : std::max(now, started + least_period);
+    sync_of(sync, reading.subject) = {.next_at = next_at, .read_whole = false, .known = true};
     if (sync.steady_since == mono_time::max()) {
         sync.steady_since = now;
     }
 }
 
-bool note_read_failure(store_sync& sync, store_subject subject, mono_time now) noexcept {
+void note_old_reading(store_sync& sync, store_subject subject, mono_time now) noexcept {
+    auto& state = sync_of(sync, subject);
+    state.reading = false;
+    ++state.old_readings;
+    state.next_at = now + cached_retry_wait;
+}
+
+void note_coverage(store_sync& sync, mono_time until) noexcept { sync.covered_until = until; }
+
+void note_behind(store_sync& sync, store_subject subject, bool behind, mono_time now) noexcept {
+    auto& state = sync_of(sync, subject);
+    if (!behind) {
+        state.behind_since = mono_time::max();
+        state.old_readings = 0;
+    } else if (!is_behind(state)) {
+        state.behind_since = now;
+    }
+}
+
+bool note_read_failure(store_sync& sync, store_subject subject, bool covered, mono_time now) noexcept {
     auto& state = sync_of(sync, subject);
     state.reading = false;
     ++state.failures;
-    state.next_at = now + wait_after(state.failures);
+    state.next_at = now + (covered ? covered_retry_wait : wait_after(state.failures));
     state.read_whole = true;
     const bool news = sync.steady_since != mono_time::max() || state.failures == 1;
     sync.steady_since = mono_time::max();
@@ -57,13 +108,19 @@
 }
 
 void note_absent(store_sync& sync, store_subject subject, mono_time now) noexcept {
-    sync_of(sync, subject) = {.next_at = now + longest_retry_wait};
+    sync_of(sync, subject) = {.next_at = now + longest_retry_wait, .absent = true};
+}
+
+void note_history_lost(store_sync& sync, store_subject subject, mono_time now) noexcept {
+    sync_of(sync, subject).reading = false;
+    want_whole(sync, subject, now + retry_wait);
 }
 
-void want_whole(store_sync& sync, store_subject subject, mono_time now) noexcept {
+void want_whole(store_sync& sync, store_subject subject, mono_time at) noexcept {
     auto& state = sync_of(sync, subject);
     state.read_whole = true;
-    state.next_at = now;
+    state.wanted = true;
+    state.next_at = at;
 }
 
 mono_time next_check_at(std::size_t bytes, mono_time now) noexcept {
@@ -74,9 +131,9 @@
 
 mono_time next_reading_at(const store_sync& sync) noexcept {
     mono_time earliest = mono_time::max();
-    for (const auto& state : sync.subjects) {
-        if (!state.reading) {
-            earliest = std::min(earliest, state.next_at);
+    for (const auto subject : {store_subject::configuration, store_subject::listing}) {
+        if (!sync_of(sync, subject).reading) {
+            earliest = std::min(earliest, due_at(sync, subject));
         }
     }
     return earliest;
--- a/libs/director/src/upstreams.cpp
+++ b/libs/director/src/upstreams.cpp
@@ -162,6 +162,16 @@
     });
 }
 
+std::uint64_t digest_of(const upstream_directory& directory) noexcept {
+    std::uint64_t digest = 0;
+    for (const auto& [id, known] : directory.by_id) {
+        if (known.listed) {
+            digest ^= mix_hashes(hash_text(id), known.report.revision);
+        }
+    }
+    return digest;
+}
+
 upstream_index make_upstream_index(const upstream_directory& directory) {
     upstream_index index;
     index.upstreams.reserve(directory.by_id.size());
--- /dev/null
+++ b/libs/director/tests/news_relay_test.cpp
@@ -0,0 +1,303 @@
+#include "director_fixture.hpp"
+
+#include <guavaramp/director/news_relay.hpp>
+
+#include <property.hpp>
+
+#include <algorithm>
+
+namespace guavaramp {
+namespace {
+
+using namespace director_fixture;
+
+std::span<const std::byte> as_bytes(const std::vector<std::uint8_t>& values) {
+    return std::as_bytes(std::span{values});
+}
+
+endpoint director(std::uint8_t number) { return {.address = from_ipv4(0x0a010000U + number), .port = 7735}; }
+
+std::vector<endpoint> directors(std::uint8_t count) {
+    std::vector<endpoint> all;
+    for (std::uint8_t number = 0; number < count; ++number) {
+        all.push_back(director(number));
+    }
+    return all;
+}
+
+reader_report reliable_report(std::uint64_t revision = 100, std::uint64_t digest = 7) {
+    return {.listing = {.revision = revision, .digest = digest},
+            .configuration_revision = 50,
+            .verified_age_ms = 700,
+            .steady_age_ms = 60'000};
+}
+
+listing_delta make_delta(std::uint64_t after_revision, std::size_t entries) {
+    listing_delta delta{.after_revision = after_revision, .news = {.revision = after_revision + entries}};
+    for (std::uint64_t index = 1; index <= entries; ++index) {
+        delta.news.reports.push_back(make_report(
+            {.id = "i-" + std::to_string(index), .number = index, .revision = after_revision + index}));
+    }
+    return delta;
+}
+
+// --- Messages
+// -----------------------------------------------------------------------------------------------
+
+TEST_CASE("NewsRelayTest.AMessageIsReadBackAsItWasWritten") {
+    check_property("round trip", [](std::uint64_t revision, std::uint64_t digest, std::uint32_t age,
+                                    const std::vector<std::uint32_t>& values) {
+        relay_message message{.report = {.listing = {.revision = revision, .digest = digest},
+                                         .configuration_revision = digest / 3,
+                                         .verified_age_ms = age,
+                                         .steady_age_ms = age / 2},
+                              .delta = {}};
+        if (!values.empty()) {
+            message.delta = listing_delta{.after_revision = revision / 2, .news = {.revision = revision}};
+        }
+        for (std::size_t index = 0; index < std::min<std::size_t>(values.size(), 20); ++index) {
+            const auto value = values[index];
+            auto report = make_report({.id = "i-" + std::to_string(value), .number = value});
+            report.phase = upstream_phase(value % 3);
+            report.warmup_left_ms = value / 7;
+            report.started_unix_ms = std::int64_t{value} * 1000;
+            message.delta->news.reports.push_back(report);
+            message.delta->news.removed.push_back({.id = "r-" + std::to_string(value), .revision = value});
+        }
+        const auto read = decode_relay_message(as_bytes(encode_relay_message(message)));
+        RC_ASSERT(read.has_value());
+        RC_ASSERT(*read == message);
+    });
+}
+
+TEST_CASE("NewsRelayTest.AnyBytesAreAMessageOrMalformed") {
+    check_property("decoding is total", [](const std::vector<std::uint8_t>& bytes) {
+        const auto read = decode_relay_message(as_bytes(bytes));
+        RC_ASSERT((read.has_value() || read.error().kind == error_kind::malformed));
+    });
+}
+
+TEST_CASE("NewsRelayTest.AMessageWithAnyByteChangedIsAMessageOrMalformed") {
+    check_property("decoding is total near valid messages", [] {
+        auto bytes = encode_relay_message({.report = reliable_report(), .delta = make_delta(100, 3)});
+        bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<std::uint8_t>();
+        const auto read = decode_relay_message(as_bytes(bytes));
+        RC_ASSERT((read.has_value() || read.error().kind == error_kind::malformed));
+    });
+}
+
+// --- Deltas
+// -------------------------------------------------------------------------------------------------
+
+// Guards against changes that are lost or applied out of order when they do not fit one message.
+TEST_CASE("NewsRelayTest.ThePartsOfADeltaFollowOneAnotherWithoutAGap") {
+    check_property("parts cover the delta", [](std::vector<std::uint8_t> steps) {
+        listing_delta delta{.after_revision = 100, .news = {.revision = 100}};
+        for (const auto step : steps) {
+            delta.news.revision += step % 3;
+            const auto id = "i-" + std::to_string(delta.news.reports.size() + delta.news.removed.size());
+            if (step % 2 == 0) {
+                delta.news.reports.push_back(make_report({.id = id, .revision = delta.news.revision}));
+            } else {
+                delta.news.removed.push_back({.id = id, .revision = delta.news.revision});
+            }
+        }
+        delta.news.revision += 5;
+        std::uint64_t known = delta.after_revision;
+        std::size_t changes = 0;
+        for (const auto& part : split_delta(delta)) {
+            RC_ASSERT(part.after_revision == known);
+            RC_ASSERT(part.news.revision >= known);
+            for (const auto& report : part.news.reports) {
+                RC_ASSERT(report.revision >= known);
+                RC_ASSERT(report.revision <= part.news.revision);
+            }
+            known = part.news.revision;
+            changes += part.news.reports.size() + part.news.removed.size();
+        }
+        RC_ASSERT(known == delta.news.revision);
+        RC_ASSERT(changes == steps.size());
+    });
+}
+
+TEST_CASE("NewsRelayTest.AWholeReadingBecomesADeltaThatBringsAnotherDirectorToTheSameListing") {
+    auto reader = make_directory(make_reports(4));
+    auto follower = reader;
+    upstream_listing listing{.revision = 200, .reports = make_reports(4)};
+    listing.reports.erase(listing.reports.begin());
+    listing.reports[0].phase = upstream_phase::draining;
+    listing.reports[0].revision = 150;
+    listing.reports.push_back(make_report({.id = "i-9", .number = 9, .revision = 180}));
+    const auto changes = apply_listing(reader, listing, at_ms(0), at_ms(-60'000));
+    const auto delta = delta_between(100, listing, changes);
+    (void)apply_news(follower, delta.news, at_ms(1), at_ms(-60'000));
+    CHECK(digest_of(follower) == digest_of(reader));
+    CHECK_FALSE(follower.by_id.at("i-1").listed);
+}
+
+// Guards against a reader that missed a change, passed on later ones, and repairs only its own listing.
+TEST_CASE("NewsRelayTest.AChangeThatAReaderFindsLateIsPassedOnAlthoughItsRevisionIsOld") {
+    auto reader = make_directory(make_reports(2));
+    upstream_listing listing{.revision = 200, .reports = make_reports(2)};
+    listing.reports[0].phase = upstream_phase::draining;
+    listing.reports[0].revision = 120;
+    const auto changes = apply_listing(reader, listing, at_ms(0), at_ms(-60'000));
+    const auto delta = delta_between(150, listing, changes);
+    REQUIRE(delta.news.reports.size() == 1);
+    CHECK(delta.news.reports.front().id == "i-1");
+}
+
+TEST_CASE("NewsRelayTest.TheDigestChangesWithEachChangeOfTheListing") {
+    auto directory = make_directory(make_reports(3));
+    const auto before = digest_of(directory);
+    (void)apply_news(directory, {.revision = 101, .reports = {}, .removed = {{.id = "i-2", .revision = 101}}},
+                     at_ms(0), at_ms(-60'000));
+    const auto without = digest_of(directory);
+    CHECK(without != before);
+    (void)apply_news(directory,
+                     {.revision = 102,
+                      .reports = {make_report({.id = "i-2", .number = 2, .revision = 102})},
+                      .removed = {}},
+                     at_ms(0), at_ms(-60'000));
+    CHECK(digest_of(directory) != without);
+    CHECK(digest_of(directory) != before);
+}
+
+// --- Readers
+// ------------------------------------------------------------------------------------------------
+
+/// A failure domain whose directors hear each other at once, run until nothing changes any more.
+struct domain {
+    explicit domain(std::uint8_t count, std::int64_t now_ms)
+        : all(directors(count)), alive(count, true), relays(count), roles(count, make_role(at_ms(now_ms))) {
+        for (std::size_t index = 0; index < all.size(); ++index) {
+            note_roster(roles[index], all[index], others(index), at_ms(now_ms));
+        }
+    }
+
+    std::vector<endpoint> others(std::size_t self) const {
+        auto listed = all;
+        listed.erase(listed.begin() + static_cast<std::ptrdiff_t>(self));
+        return listed;
+    }
+
+    /// One step of 10 ms: decisions, and a report of each reader every 700 ms and when it becomes one.
+    void step(std::int64_t now_ms) {
+        for (std::size_t index = 0; index < all.size(); ++index) {
+            if (!alive[index]) {
+                continue;
+            }
+            const bool read_before = roles[index].reads;
+            (void)update_role(roles[index], relays[index], all[index], others(index), at_ms(now_ms));
+            if (roles[index].reads && (!read_before || now_ms % 700 == 0)) {
+                for (std::size_t other = 0; other < all.size(); ++other) {
+                    if (other != index && alive[other]) {
+                        note_report(relays[other], all[index], reliable_report(), at_ms(now_ms));
+                    }
+                }
+            }
+        }
+    }
+
+    std::ptrdiff_t readers() const {
+        std::ptrdiff_t count = 0;
+        for (std::size_t index = 0; index < all.size(); ++index) {
+            count += alive[index] && roles[index].reads ? 1 : 0;
+        }
+        return count;
+    }
+
+    std::vector<endpoint> all;
+    std::vector<bool> alive;
+    std::vector<news_relay> relays;
+    std::vector<reader_role> roles;
+};
+
+// Guards against calls to the store that grow with the fleet.
+TEST_CASE("NewsRelayTest.InAFailureDomainOfAnySizeTwoDirectorsRead") {
+    for (const std::uint8_t count : {1, 2, 3, 30, 133}) {
+        CAPTURE(count);
+        domain fleet{count, 0};
+        std::ptrdiff_t most = 0;
+        for (std::int64_t now_ms = 0; now_ms < 5000; now_ms += 10) {
+            fleet.step(now_ms);
+            most = std::max(most, fleet.readers());
+        }
+        CHECK(fleet.readers() == std::min<std::ptrdiff_t>(count, 2));
+        CHECK(most == std::min<std::ptrdiff_t>(count, 2));
+    }
+}
+
+// Guards against a failure domain without news, and against all its directors asking the store at once.
+TEST_CASE("NewsRelayTest.WhenBothReadersAreKilledFewOthersTakeOverWithinTwoSeconds") {
+    domain fleet{30, 0};
+    for (std::int64_t now_ms = 0; now_ms < 5000; now_ms += 10) {
+        fleet.step(now_ms);
+    }
+    REQUIRE(fleet.readers() == 2);
+    for (std::size_t index = 0; index < fleet.all.size(); ++index) {
+        fleet.alive[index] = !fleet.roles[index].reads;
+    }
+    std::int64_t recovered_ms = 0;
+    for (std::int64_t now_ms = 5000; now_ms < 10'000; now_ms += 10) {
+        fleet.step(now_ms);
+        CHECK(fleet.readers() <= 4);
+        recovered_ms = recovered_ms == 0 && fleet.readers() >= 2 ? now_ms : recovered_ms;
+    }
+    CHECK(recovered_ms > 0);
+    CHECK(recovered_ms <= 7000);
+    CHECK(fleet.readers() == 2);
+}
+
+// Guards against news taken from a director whose own connection to the store has silently died.
+TEST_CASE("NewsRelayTest.AReaderThatHasNotVerifiedItsListingLatelyIsNotReliedOn") {
+    news_relay relay;
+    auto report = reliable_report();
+    report.verified_age_ms = 2500;
+    note_report(relay, director(1), report, at_ms(0));
+    CHECK_FALSE(coverage_at(relay, {.revision = 100, .digest = 7}, at_ms(1)).has_value());
+    note_report(relay, director(1), make_greeting(), at_ms(2));
+    CHECK_FALSE(coverage_at(relay, {.revision = 100, .digest = 7}, at_ms(3)).has_value());
+}
+
+TEST_CASE("NewsRelayTest.AReportStandsForItsSenderUntilItsValidityEnds") {
+    news_relay relay;
+    note_report(relay, director(1), reliable_report(), at_ms(0));
+    const auto coverage = coverage_at(relay, {.revision = 100, .digest = 7}, at_ms(1499));
+    REQUIRE(coverage.has_value());
+    CHECK(coverage->until == at_ms(1500));
+    CHECK(coverage->steady_since == at_ms(-60'000));
+    CHECK_FALSE(coverage_at(relay, {.revision = 100, .digest = 7}, at_ms(1500)).has_value());
+}
+
+// Guards against a listing that stays different from the readers' after a lost or reordered message.
+TEST_CASE("NewsRelayTest.AListingIsConfirmedByAnEqualDigestAndDiffersWithAnotherOne") {
+    news_relay relay;
+    note_report(relay, director(1), reliable_report(120, 7), at_ms(0));
+    const auto equal = coverage_at(relay, {.revision = 100, .digest = 7}, at_ms(1));
+    CHECK(equal->confirmed_revision == 120);
+    CHECK_FALSE(equal->listing_differs);
+    const auto different = coverage_at(relay, {.revision = 100, .digest = 8}, at_ms(1));
+    CHECK(different->confirmed_revision == 0);
+    CHECK(different->listing_differs);
+    // The reader is behind this director, so its other listing means nothing.
+    const auto older = coverage_at(relay, {.revision = 121, .digest = 8}, at_ms(1));
+    CHECK_FALSE(older->listing_differs);
+}
+
+TEST_CASE("NewsRelayTest.ADirectorThatRanksLateListensForReportsBeforeItReads") {
+    const auto all = directors(20);
+    std::size_t at_once = 0;
+    for (const auto& self : all) {
+        auto role = make_role(at_ms(0));
+        note_roster(role, self, all, at_ms(0));
+        (void)update_role(role, {}, self, all, at_ms(0));
+        at_once += role.reads ? 1 : 0;
+        (void)update_role(role, {}, self, all, at_ms(3000));
+        CHECK(role.reads);
+    }
+    CHECK(at_once == readers_per_failure_domain);
+}
+
+}  // namespace
+}  // namespace guavaramp
