--- a/apps/director/packet_duty.cpp
+++ b/apps/director/packet_duty.cpp
@@ -3,6 +3,7 @@
 #include "peer_link.hpp"
 #include "request_id.hpp"
 
+#include <guavaramp/director/held_packets.hpp>
 #include <guavaramp/net/tcp_probe.hpp>
 #include <guavaramp/net/udp_socket.hpp>
 #include <guavaramp/platform_adapter/packet_codec.hpp>
@@ -20,6 +21,8 @@
 
 /// Longest wait for packets: bounds how late a planned stop is seen.
 constexpr auto longest_wait = std::chrono::milliseconds{250};
+/// Wait for the first configuration and listing while packets wait for them: half of what reading them takes.
+constexpr auto held_look_period = std::chrono::milliseconds{10};
 /// Period of forgetting idle flows and of looking for probes that are due.
 constexpr auto housekeeping_period = std::chrono::milliseconds{500};
 constexpr std::size_t receive_buffer_bytes = 1U << 20U;
@@ -82,7 +85,8 @@
 
     void wait() {
         const auto started = now();
-        const auto deadline = next_due(state_, probes_.next_deadline(started + longest_wait));
+        const auto longest = held_.packets.empty() ? longest_wait : held_look_period;
+        const auto deadline = next_due(state_, probes_.next_deadline(started + longest));
         polled_.clear();
         polled_.push_back({.fd = socket_.native_handle(), .events = POLLIN, .revents = 0});
         polled_.push_back({.fd = peers_.native_handle(), .events = POLLIN, .revents = 0});
@@ -95,9 +99,29 @@
         if (const auto version = context_.view.version(); version != view_version_) {
             view_version_ = version;
             view_ = context_.view.get();
+            handle_held();
         }
     }
 
+    [[nodiscard]] bool can_decide() const noexcept {
+        return view_ != nullptr && view_->routes != nullptr && view_->upstreams != nullptr;
+    }
+
+    /// Packets that came before the first configuration and listing.
+    void handle_held() {
+        if (!can_decide() || held_.packets.empty()) {
+            return;
+        }
+        const auto time = now();
+        const auto packets = take_held(held_, time);
+        for (const auto& held : packets) {
+            if (const auto packet = decode_packet(held.bytes)) {
+                handle(*packet, held.bytes, time);
+            }
+        }
+        socket_.flush();
+    }
+
     void handle_batch(std::span<const datagram> batch) {
         const auto time = now();
         context_.last_packet_ms = to_ms(time);
@@ -113,8 +137,9 @@
     }
 
     void handle(const flow_packet& packet, std::span<const std::byte> bytes, mono_time time) {
-        if (view_ == nullptr) {
-            decided_.at(static_cast<std::size_t>(decision_reason::no_configuration))->add();
+        if (!can_decide()) {
+            packets_held_.add();
+            held_dropped_.add(hold_packet(held_, bytes, time));
             return;
         }
         const auto decided = decide(state_, *view_, packet, time);
@@ -301,6 +326,7 @@
     peer_link peers_;
     tcp_probes probes_;
     director_state state_;
+    held_packets held_;
     std::shared_ptr<const fleet_view> view_;
     std::uint64_t view_version_{0};
     mono_time housekeeping_at_{};
@@ -314,6 +340,10 @@
     counter& reopened_{context_.counters.get(
         "opens_moved_total", "Unanswered opening packets that were sent to another upstream")};
     counter& records_lost_{context_.counters.get("log_records_lost_total", "Decisions that were not logged")};
+    counter& packets_held_{context_.counters.get(
+        "packets_held_total", "Packets that waited for the first configuration and listing")};
+    counter& held_dropped_{
+        context_.counters.get("packets_held_dropped_total", "Those that waited too long or were too many")};
     counter& flows_held_{context_.counters.get("flows", "Flows held", "", counter_kind::gauge)};
     counter& send_failures_{
         context_.counters.get("send_failures_total", "Datagrams that the kernel refused to send")};
