Forward packets of open flows before the configuration is known

Open flows waited for routes that they do not need: a configuration decides where new flows go.

Change: a packet of an open flow is decided as soon as its tag names a listed upstream; others wait.

--- a/apps/director/packet_duty.cpp
+++ b/apps/director/packet_duty.cpp
@@ -103,20 +103,21 @@
         }
     }
 
-    [[nodiscard]] bool can_decide() const noexcept {
-        return view_ != nullptr && view_->routes != nullptr && view_->upstreams != nullptr;
-    }
-
-    /// Packets that came before the first configuration and listing.
+    /// Packets that came before the first configuration and listing; some wait on.
     void handle_held() {
-        if (!can_decide() || held_.packets.empty()) {
+        if (held_.packets.empty()) {
             return;
         }
         const auto time = now();
-        const auto packets = take_held(held_, time);
-        for (const auto& held : packets) {
-            if (const auto packet = decode_packet(held.bytes)) {
+        for (const auto& held : take_held(held_, time)) {
+            const auto packet = decode_packet(held.bytes);
+            if (!packet) {
+                continue;  // cannot be: only what was decoded is held
+            }
+            if (can_decide(*view_, *packet)) {
                 handle(*packet, held.bytes, time);
+            } else {
+                held_dropped_.add(hold_packet(held_, held.bytes, held.arrived_at));
             }
         }
         socket_.flush();
@@ -131,17 +132,17 @@
                 malformed_.at(static_cast<std::size_t>(packet.error()))->add();
                 continue;
             }
+            if (view_ == nullptr || !can_decide(*view_, *packet)) {
+                packets_held_.add();
+                held_dropped_.add(hold_packet(held_, received.bytes, time));
+                continue;
+            }
             handle(*packet, received.bytes, time);
         }
         socket_.flush();
     }
 
     void handle(const flow_packet& packet, std::span<const std::byte> bytes, mono_time time) {
-        if (!can_decide()) {
-            packets_held_.add();
-            held_dropped_.add(hold_packet(held_, bytes, time));
-            return;
-        }
         const auto decided = decide(state_, *view_, packet, time);
         decided_.at(static_cast<std::size_t>(decided.reason))->add();
         if (decided.outcome == verdict::forward) {
--- a/libs/director/include/guavaramp/director/director.hpp
+++ b/libs/director/include/guavaramp/director/director.hpp
@@ -110,8 +110,13 @@
     double recent_answer_ms{0};  ///< moving average over the last few answers of all hosts
 };
 
-/// Decides what happens to a caller's packet, and learns from it. Precondition: `now` does not go back. Not
-/// thread-safe.
+/// Whether `view` says enough for a verdict on `packet`. A packet of an open flow needs the listing only: a
+/// configuration decides where new flows go, and reading one with many routes takes a director with a slow
+/// link several hundred milliseconds. Packets without a verdict wait, see `held_packets`. Not thread-safe.
+[[nodiscard]] bool can_decide(const fleet_view& view, const flow_packet& packet) noexcept;
+
+/// Decides what happens to a caller's packet, and learns from it. Without `can_decide` the verdict is to drop
+/// it. Precondition: `now` does not go back. Not thread-safe.
 [[nodiscard]] decision decide(director_state& state, const fleet_view& view, const flow_packet& packet,
                               mono_time now);
 
--- a/libs/director/src/director.cpp
+++ b/libs/director/src/director.cpp
@@ -365,9 +365,17 @@
     return reason_names.at(static_cast<std::size_t>(value));
 }
 
+bool can_decide(const fleet_view& view, const flow_packet& packet) noexcept {
+    if (view.upstreams == nullptr) {
+        return false;
+    }
+    return view.routes != nullptr || (!packet.opens && find_by_tag(*view.upstreams, packet.tag) != nullptr);
+}
+
 decision decide(director_state& state, const fleet_view& view, const flow_packet& packet, mono_time now) {
     if (view.routes == nullptr) {
-        return drop(decision_reason::no_configuration);
+        return can_decide(view, packet) ? steer(state, view, packet, now)
+                                        : drop(decision_reason::no_configuration);
     }
     const auto* matched = find_route(*view.routes, packet.flow);
     if (matched == nullptr) {
--- a/libs/director/tests/director_test.cpp
+++ b/libs/director/tests/director_test.cpp
@@ -45,6 +45,22 @@
           decision_reason::no_listing);
 }
 
+// Replays the return of a director with a slow link: the listing is there after 60 ms, a configuration with
+// 1,300 routes after 320 ms. Guards against open flows that wait for routes which they do not need.
+TEST_CASE("DirectorTest.AnOpenFlowIsForwardedAsSoonAsTheListingIsKnown") {
+    director_state state;
+    auto view = make_view(make_directory(make_reports(5)));
+    view.routes = nullptr;
+    const auto packet = request(make_flow(), tag_of(4));
+    CHECK(can_decide(view, packet));
+    CHECK(decide(state, view, packet, at_ms(0)).target->report.id == "i-4");
+    CHECK_FALSE(can_decide(view, opening(make_flow())));
+    CHECK_FALSE(can_decide(view, request(make_flow(), tag_of(77))));
+    CHECK(decide(state, view, request(make_flow(2), tag_of(77)), at_ms(1)).outcome == verdict::drop);
+    view.upstreams = nullptr;
+    CHECK_FALSE(can_decide(view, packet));
+}
+
 TEST_CASE("DirectorTest.AnOpenFlowFollowsItsTagAtADirectorThatHasNeverSeenIt") {
     director_state fresh;
     const auto view = make_view(make_directory(make_reports(5)));
