Hand packets to a neighbour while a director knows nothing of the store

Holding them did not help, the cut lasts 5 s.

Change: the settings name the administrative addresses of up to three directors (seeds of the platform, which it gives to roles that serve control). A director without a view asks them, and the directors that they name, and hands packets on to one of its own failure domain, marked so that they go on once only. No key is needed: the neighbour treats the packet as if the routers had sent it there.

--- a/apps/director/control_duty.cpp
+++ b/apps/director/control_duty.cpp
@@ -1,5 +1,6 @@
 #include "control_duty.hpp"
 
+#include "neighbour_finder.hpp"
 #include "news_exchange.hpp"
 #include "roster_keeper.hpp"
 #include "store_reader.hpp"
@@ -44,6 +45,7 @@
                  .listing = [this] { return reader_.listing(); },
                  .apply = [this](const listing_delta& delta) { reader_.apply_relayed(delta); },
                  .source_changed = [this](const news_source& source) { reader_.follow(source); }}),
+          neighbours_(io_, context, [this] { return is_ready(); }),
           tick_(io_) {}
     running_control_duty(const running_control_duty&) = delete;
     running_control_duty& operator=(const running_control_duty&) = delete;
@@ -56,7 +58,8 @@
 
     [[nodiscard]] result<void> start() {
         add_routes();
-        for (const auto& local : {context_.settings.status, context_.settings.metrics}) {
+        for (const auto& local :
+             {context_.settings.status, context_.settings.metrics, context_.settings.admin}) {
             auto server = attach_http_server(io_, {.local = local, .max_connections = most_http_connections},
                                              [this](http_request request, const http_responder& respond) {
                                                  router_.handle(std::move(request), respond);
@@ -76,6 +79,7 @@
         reader_.start([this](const std::optional<listing_delta>& delta) { news_.announce(delta); });
         roster_.start();
         news_.start();
+        neighbours_.start();
         tick();
         io_.run();
         write_decisions();
@@ -86,6 +90,10 @@
             respond({.status = is_ready() ? 200 : answer_for(error_kind::unavailable).http_status,
                      .body = is_ready() ? R"({"status":"ready"})" : R"({"status":"not ready"})"});
         });
+        router_.add("GET", "/v1/neighbour", [this](const http_request&, const http_responder& respond) {
+            respond({.status = is_ready() ? 200 : answer_for(error_kind::unavailable).http_status,
+                     .body = is_ready() ? describe_neighbourhood() : R"({"status":"not ready"})"});
+        });
         router_.add("GET", "/metrics", [this](const http_request&, const http_responder& respond) {
             respond({.content_type = "text/plain; version=0.0.4", .body = context_.counters.to_prometheus()});
         });
@@ -96,6 +104,20 @@
         return !context_.leaving && view != nullptr && view->routes != nullptr && view->upstreams != nullptr;
     }
 
+    [[nodiscard]] std::string describe_neighbourhood() const {
+        neighbour_answer answer{.packets = context_.settings.packets,
+                                .failure_domain = context_.settings.failure_domain,
+                                .others = {}};
+        if (const auto roster = context_.roster.get()) {
+            for (const auto& peer : roster->peers) {
+                if (answer.others.size() < most_neighbours) {
+                    answer.others.push_back(peer.admin);
+                }
+            }
+        }
+        return encode_neighbour_answer(answer);
+    }
+
     void tick() {
         if (context_.stopped) {
             io_.stop();
@@ -154,6 +176,7 @@
     store_reader reader_;
     roster_keeper roster_;
     news_exchange news_;
+    neighbour_finder neighbours_;
     asio::steady_timer tick_;
     http_router router_;
     std::vector<std::unique_ptr<http_server>> servers_;
--- a/apps/director/director_context.hpp
+++ b/apps/director/director_context.hpp
@@ -6,6 +6,7 @@
 #include <guavaramp/base/published.hpp>
 #include <guavaramp/base/ring.hpp>
 #include <guavaramp/director/director.hpp>
+#include <guavaramp/director/neighbours.hpp>
 #include <guavaramp/telemetry/counters.hpp>
 
 #include <array>
@@ -52,6 +53,7 @@
     counter_registry counters;
     published<fleet_view> view;
     published<fleet_roster> roster;
+    published<std::optional<endpoint>> neighbour;  ///< takes packets while this director cannot decide
     ring<decision_record> decisions{record_ring_size};
     ring<probe_record> probes{record_ring_size};
     std::atomic<bool> wants_listing{false};       ///< a packet's tag needs a listing newer than the last
--- a/apps/director/director_settings.cpp
+++ b/apps/director/director_settings.cpp
@@ -1,11 +1,23 @@
 #include "director_settings.hpp"
 
 #include <guavaramp/settings/settings_reader.hpp>
+#include <guavaramp/telemetry/log.hpp>
 
 namespace guavaramp {
 namespace {
 
-constexpr std::int64_t most_memory_mb = 1 << 20;
+/// Addresses of the neighbours. One that cannot be read is left out: the others serve as well.
+std::vector<endpoint> parse_neighbours(const std::vector<std::string>& texts) {
+    std::vector<endpoint> neighbours;
+    for (const auto& text : texts) {
+        if (const auto parsed = parse_endpoint(text)) {
+            neighbours.push_back(*parsed);
+        } else {
+            log_event(log_level::warning, "neighbour_ignored", {{"message", parsed.error().message}});
+        }
+    }
+    return neighbours;
+}
 
 }  // namespace
 
@@ -20,10 +32,11 @@
     settings.packets = reader->socket_address("packets");
     settings.status = reader->socket_address("status");
     settings.metrics = reader->socket_address("metrics");
+    settings.admin = reader->socket_address("admin");
     settings.peers = reader->socket_address("peers");
     settings.news = reader->socket_address("news");
     settings.store = reader->socket_address("store");
-    settings.most_memory_mb = reader->integer("memory_mb", 1, most_memory_mb);
+    settings.neighbours = parse_neighbours(reader->text_list("neighbours", std::vector<std::string>{}));
     settings.log_level = reader->choice("log_level", {"info", "warning", "error"}, "info");
     if (auto finished = reader->finish(); !finished) {
         return tl::make_unexpected(finished.error());
--- a/apps/director/packet_duty.cpp
+++ b/apps/director/packet_duty.cpp
@@ -95,29 +95,33 @@
         poll(polled_.data(), polled_.size(), static_cast<int>(std::max<std::int64_t>(wait_ms, 0)));
     }
 
+    /// Takes over what the control thread has published. Waiting packets are looked at again then.
     void refresh_view() {
+        bool changed = false;
         if (const auto version = context_.view.version(); version != view_version_) {
             view_version_ = version;
             view_ = context_.view.get();
+            changed = true;
+        }
+        if (const auto version = context_.neighbour.version(); version != neighbour_version_) {
+            neighbour_version_ = version;
+            neighbour_ = *context_.neighbour.get();
+            changed = true;
+        }
+        if (changed && !held_.packets.empty()) {
             handle_held();
         }
     }
 
     /// Packets that came before the first configuration and listing; some wait on.
     void handle_held() {
-        if (held_.packets.empty()) {
-            return;
-        }
         const auto time = now();
         for (const auto& held : take_held(held_, time)) {
             const auto packet = decode_packet(held.bytes);
-            if (!packet) {
-                continue;  // cannot be: only what was decoded is held
-            }
-            if (can_decide(*view_, *packet)) {
+            if (packet && view_ != nullptr && can_decide(*view_, *packet)) {
                 handle(*packet, held.bytes, time);
-            } else {
-                held_dropped_.add(hold_packet(held_, held.bytes, held.arrived_at));
+            } else if (packet) {  // always: only what was decoded is held
+                wait_or_pass_on(*packet, held.bytes, held.arrived_at);
             }
         }
         socket_.flush();
@@ -133,8 +137,8 @@
                 continue;
             }
             if (view_ == nullptr || !can_decide(*view_, *packet)) {
-                packets_held_.add();
-                held_dropped_.add(hold_packet(held_, received.bytes, time));
+                packets_undecided_.add();
+                wait_or_pass_on(*packet, received.bytes, time);
                 continue;
             }
             handle(*packet, received.bytes, time);
@@ -142,6 +146,16 @@
         socket_.flush();
     }
 
+    /// A packet that this director cannot decide goes to a neighbour if there is one, but not twice.
+    void wait_or_pass_on(const flow_packet& packet, std::span<const std::byte> bytes, mono_time arrived_at) {
+        if (neighbour_ && !packet.passed_on) {
+            socket_.send(*neighbour_, encode_passed_on(bytes, delivery_));
+            packets_passed_on_.add();
+        } else {
+            held_dropped_.add(hold_packet(held_, bytes, arrived_at));
+        }
+    }
+
     void handle(const flow_packet& packet, std::span<const std::byte> bytes, mono_time time) {
         const auto decided = decide(state_, *view_, packet, time);
         decided_.at(static_cast<std::size_t>(decided.reason))->add();
@@ -330,6 +344,8 @@
     held_packets held_;
     std::shared_ptr<const fleet_view> view_;
     std::uint64_t view_version_{0};
+    std::optional<endpoint> neighbour_;
+    std::uint64_t neighbour_version_{0};
     mono_time housekeeping_at_{};
     std::vector<pollfd> polled_;
     std::array<std::byte, max_datagram_size> delivery_{};
@@ -341,8 +357,11 @@
     counter& reopened_{context_.counters.get(
         "opens_moved_total", "Unanswered opening packets that were sent to another upstream")};
     counter& records_lost_{context_.counters.get("log_records_lost_total", "Decisions that were not logged")};
-    counter& packets_held_{context_.counters.get(
-        "packets_held_total", "Packets that waited for the first configuration and listing")};
+    counter& packets_undecided_{context_.counters.get(
+        "packets_undecided_total", "Packets that came before the configuration or the listing they need")};
+    counter& packets_passed_on_{
+        context_.counters.get("packets_passed_on_total",
+                              "Packets that were handed to a neighbour, without a verdict of their own")};
     counter& held_dropped_{
         context_.counters.get("packets_held_dropped_total", "Those that waited too long or were too many")};
     counter& flows_held_{context_.counters.get("flows", "Flows held", "", counter_kind::gauge)};
--- a/apps/director/roster_keeper.cpp
+++ b/apps/director/roster_keeper.cpp
@@ -109,6 +109,7 @@
 void roster_keeper::write_entry() {
     const director_peer self{.address = context_.settings.peers,
                              .news = context_.settings.news,
+                             .admin = context_.settings.admin,
                              .failure_domain = context_.settings.failure_domain};
     const auto call = write_call(
         {{.key = own_key(context_.settings), .value = encode_director_entry(self), .lease = state_.lease}});
--- a/libs/director/include/guavaramp/director/flow_packet.hpp
+++ b/libs/director/include/guavaramp/director/flow_packet.hpp
@@ -39,8 +39,9 @@
     std::uint16_t payload_bytes{0};
     bool opens{false};  ///< SYN
     bool acknowledges{false};
-    bool closes{false};  ///< FIN
-    bool aborts{false};  ///< RST
+    bool closes{false};     ///< FIN
+    bool aborts{false};     ///< RST
+    bool passed_on{false};  ///< came from another director and not from the routers
 
     friend bool operator==(const flow_packet&, const flow_packet&) = default;
 };
--- a/libs/director/include/guavaramp/director/peers.hpp
+++ b/libs/director/include/guavaramp/director/peers.hpp
@@ -20,6 +20,7 @@
 struct director_peer {
     endpoint address;  ///< takes notes about upstreams
     endpoint news;     ///< takes news of the store
+    endpoint admin;    ///< HTTP
     std::string failure_domain;
 
     friend bool operator==(const director_peer&, const director_peer&) = default;
--- a/libs/director/src/peers.cpp
+++ b/libs/director/src/peers.cpp
@@ -68,6 +68,7 @@
 std::string encode_director_entry(const director_peer& peer) {
     return json{{"address", to_string(peer.address)},
                 {"news", to_string(peer.news)},
+                {"admin", to_string(peer.admin)},
                 {"failure_domain", peer.failure_domain}}
         .dump();
 }
@@ -76,11 +77,15 @@
     const auto value = json::parse(text, nullptr, false);
     const auto address = read_endpoint(value, "address");
     const auto news = read_endpoint(value, "news");
-    if (!address || !news || !value.contains("failure_domain") || !value["failure_domain"].is_string()) {
+    const auto admin = read_endpoint(value, "admin");
+    if (!address || !news || !admin || !value.contains("failure_domain") ||
+        !value["failure_domain"].is_string()) {
         return fail(error_kind::malformed, "a director's entry lacks an address or its failure domain");
     }
-    return director_peer{
-        .address = *address, .news = *news, .failure_domain = value["failure_domain"].get<std::string>()};
+    return director_peer{.address = *address,
+                         .news = *news,
+                         .admin = *admin,
+                         .failure_domain = value["failure_domain"].get<std::string>()};
 }
 
 }  // namespace guavaramp
--- a/scripts/soak_stand_ins.py
+++ b/scripts/soak_stand_ins.py
@@ -14,7 +14,7 @@
 HEADER = struct.Struct(">III B 3x H I I HH I")
 SYN, ACK, FIN, RST = 32, 64, 2, 128
 PACKET_PORT, READY_PORT, METRICS_PORT, STORE_PORT = 8172, 8167, 9402, 8169
-PEER_PORT, NEWS_PORT = 7720, 7735
+PEER_PORT, NEWS_PORT, ADMIN_PORT = 7720, 7735, 8166
 SERVICE_ADDRESS = "198.18.0.1"
 WORKSHOP_PORT, ARCHIVE_PORT, LATE_PORT = 8443, 443, 8500
 REPEAT_TIMES = (0.2, 0.6)  # copies of an opening packet
@@ -394,8 +394,10 @@
         with open(self.settings, "w") as file:
             json.dump({"vm": f"d{number}", "failure_domain": "centro", "packets": f"{self.address}:{PACKET_PORT}",
                        "status": f"{self.address}:{READY_PORT}", "metrics": f"{self.address}:{METRICS_PORT}",
-                       "peers": f"{self.address}:{PEER_PORT}", "news": f"{self.address}:{NEWS_PORT}", "store": f"{soak.address_of('proxies', number)}:{STORE_PORT}",
-                       "memory_mb": 64}, file)
+                       "peers": f"{self.address}:{PEER_PORT}", "news": f"{self.address}:{NEWS_PORT}",
+                       "admin": f"{self.address}:{ADMIN_PORT}",
+                       "neighbours": [f"{soak.address_of('directors', other)}:{ADMIN_PORT}" for other in range(3)],
+                       "store": f"{soak.address_of('proxies', number)}:{STORE_PORT}"}, file)
 
     def start(self):
         if self.soak.ended:
