--- a/libs/director/include/guavaramp/director/neighbours.hpp
+++ b/libs/director/include/guavaramp/director/neighbours.hpp
@@ -25,8 +25,8 @@
 /// Period of asking the neighbours while one of them serves.
 inline constexpr auto neighbour_period = std::chrono::milliseconds{300};
 /// Longest period while none does: three directors are asked by the whole fleet when the store is away for
-/// all.
-inline constexpr auto longest_neighbour_period = std::chrono::milliseconds{2400};
+/// all, at the design size 590 times a second each.
+inline constexpr auto longest_neighbour_period = std::chrono::milliseconds{900};
 /// How long a neighbour may take to answer: fifty round trips between failure domains.
 inline constexpr auto neighbour_timeout = std::chrono::milliseconds{250};
 /// How long an answer stands: a lost one does not end it.
