Take a draining host for gone only when it refuses two probes

The flow was reset 84 ms after its last request had reached the host: 80 ms without an answer start a probe, a refusal comes within a round trip. A draining host stops listening a moment before its last answers.

Change: for a draining host a refusal counts when a second one follows 400 ms later and no answer came between. One copy of age_ms.

--- a/apps/director/control_duty.cpp
+++ b/apps/director/control_duty.cpp
@@ -6,6 +6,7 @@
 #include "store_reader.hpp"
 
 #include <guavaramp/base/token_bucket.hpp>
+#include <guavaramp/director/age.hpp>
 #include <guavaramp/net/attached_http_server.hpp>
 #include <guavaramp/net/http_router.hpp>
 #include <guavaramp/telemetry/log.hpp>
@@ -30,10 +31,6 @@
 
 mono_time now() { return std::chrono::steady_clock::now(); }
 
-std::int64_t age_ms(mono_time then, mono_time time) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time - then).count();
-}
-
 class running_control_duty final : public control_duty {
 public:
     running_control_duty(director_context& context, peer_socket news_socket)
--- a/apps/director/packet_duty.cpp
+++ b/apps/director/packet_duty.cpp
@@ -268,7 +268,10 @@
             auto& health = health_of(state_, steering_tag{finished.key});
             const bool was_unreachable = health.unreachable;
             const auto outcome = to_probe_outcome(finished.outcome);
-            note_probe_ended(health, outcome, finished.started, time);
+            const auto* known = find_by_tag(*view_->upstreams, steering_tag{finished.key});
+            const bool draining = known != nullptr && known->report.phase == upstream_phase::draining;
+            (draining ? note_draining_probe_ended : note_probe_ended)(health, outcome, finished.started,
+                                                                      time);
             const probe_record record{
                 .tag = finished.key, .outcome = outcome, .changed = health.unreachable != was_unreachable};
             if (!context_.probes.push(record)) {
--- a/apps/director/store_reader.cpp
+++ b/apps/director/store_reader.cpp
@@ -2,12 +2,12 @@
 
 #include "store_answer.hpp"
 
+#include <guavaramp/director/age.hpp>
 #include <guavaramp/platform_adapter/platform_entries.hpp>
 #include <guavaramp/telemetry/log.hpp>
 
 #include <algorithm>
 #include <chrono>
-#include <limits>
 
 namespace guavaramp {
 namespace {
@@ -39,12 +39,6 @@
     return changed;
 }
 
-std::uint32_t age_ms(mono_time then, mono_time time) noexcept {
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(time - then).count();
-    return static_cast<std::uint32_t>(
-        std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max()));
-}
-
 std::size_t count_unreadable(const upstream_directory& directory) {
     return static_cast<std::size_t>(
         std::count_if(directory.by_id.begin(), directory.by_id.end(), [](const auto& item) {
--- a/libs/director/include/guavaramp/director/host_health.hpp
+++ b/libs/director/include/guavaramp/director/host_health.hpp
@@ -33,6 +33,10 @@
 /// Longest time for which new flows avoid a host that has stalled repeatedly.
 inline constexpr auto longest_avoidance = std::chrono::milliseconds{24000};
 
+/// Time between the two refused probes that show that a draining host has ended. It stops listening a moment
+/// before its last answers; longer than the longest request takes.
+inline constexpr auto draining_patience = std::chrono::milliseconds{400};
+
 /// How long the trial of a host that had stalled may take: one flow opens and sends its request, which is
 /// overdue after 400 ms. Callers open a flow for a request that they have.
 inline constexpr auto trial_time = std::chrono::milliseconds{1000};
@@ -56,6 +60,7 @@
     mono_time avoid_until{};        ///< deadline until which new flows prefer other hosts
     mono_time trial_until{};        ///< deadline of a trial by this director or another one
     mono_time stalled_at{};         ///< of the last verdict
+    mono_time refused_at{};         ///< when a draining host first refused a probe; the epoch: it did not
     mono_time next_probe_at{};
     mono_time first_overdue_sent{};     ///< when the first of the overdue requests was sent
     std::uint32_t overdue_requests{0};  ///< in a row, without an answer to any flow
@@ -112,6 +117,11 @@
 /// thread-safe.
 void note_probe_ended(host_health& health, probe_outcome outcome, mono_time started, mono_time now) noexcept;
 
+/// The same for a host that is draining: a refusal counts when a second one follows after
+/// `draining_patience`. Not thread-safe.
+void note_draining_probe_ended(host_health& health, probe_outcome outcome, mono_time started,
+                               mono_time now) noexcept;
+
 /// Whether the host is believed unreachable at `now`: its open flows cannot go on. Not thread-safe.
 [[nodiscard]] bool is_unreachable(const host_health& health, mono_time now) noexcept;
 
--- a/libs/director/src/due_work.cpp
+++ b/libs/director/src/due_work.cpp
@@ -1,10 +1,10 @@
 #include "shared_decisions.hpp"
 
 #include <guavaramp/base/hash.hpp>
+#include <guavaramp/director/age.hpp>
 #include <guavaramp/director/choice.hpp>
 
 #include <algorithm>
-#include <limits>
 
 namespace guavaramp {
 namespace {
@@ -74,12 +74,6 @@
     }
 }
 
-std::uint32_t age_ms(mono_time then, mono_time now) noexcept {
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - then).count();
-    return static_cast<std::uint32_t>(
-        std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max()));
-}
-
 /// Counts an overdue request and has the host looked at once there was time to object. Returns whether it
 /// counts.
 bool count_overdue(director_state& state, steering_tag tag, mono_time sent, mono_time now) {
--- a/libs/director/src/host_health.cpp
+++ b/libs/director/src/host_health.cpp
@@ -24,6 +24,7 @@
 
 void note_progress(host_health& health, mono_time now) noexcept {
     health.last_progress = now;
+    health.refused_at = mono_time{};
     health.unreachable = false;
     health.unreachable_until = mono_time{};
 }
@@ -96,7 +97,8 @@
 void note_trial(host_health& health, mono_time now) noexcept { health.trial_until = now + trial_time; }
 
 bool is_probe_due(const host_health& health, mono_time now) noexcept {
-    return health.unreachable && !health.probing && now >= health.next_probe_at;
+    const bool doubted = health.unreachable || health.refused_at != mono_time{};
+    return doubted && !health.probing && now >= health.next_probe_at;
 }
 
 void note_probe_started(host_health& health, mono_time now) noexcept {
@@ -107,6 +109,7 @@
 void note_probe_ended(host_health& health, probe_outcome outcome, mono_time started, mono_time now) noexcept {
     health.probing = false;
     if (outcome == probe_outcome::connected) {
+        health.refused_at = mono_time{};
         health.unreachable = false;
         health.unreachable_until = mono_time{};
         health.next_probe_at = now + probe_period_reachable;
@@ -120,6 +123,19 @@
     health.next_probe_at = now + probe_period_unreachable;
 }
 
+void note_draining_probe_ended(host_health& health, probe_outcome outcome, mono_time started,
+                               mono_time now) noexcept {
+    const bool first = health.refused_at == mono_time{};
+    const bool too_soon = first || now < health.refused_at + draining_patience;
+    if (outcome == probe_outcome::refused && too_soon && health.last_progress <= started) {
+        health.probing = false;
+        health.refused_at = first ? now : health.refused_at;
+        health.next_probe_at = health.refused_at + draining_patience;
+        return;
+    }
+    note_probe_ended(health, outcome, started, now);
+}
+
 bool is_unreachable(const host_health& health, mono_time now) noexcept {
     return health.unreachable && now < health.unreachable_until;
 }
--- a/libs/director/tests/host_health_test.cpp
+++ b/libs/director/tests/host_health_test.cpp
@@ -57,6 +57,33 @@
     CHECK(is_probe_due(health, at_ms(80) + probe_period_unreachable));
 }
 
+// Replays azulejo-austro scale-2 --seed 358506619969, second 14: a draining host has stopped listening and
+// still works on a request; 80 ms after that came, a probe is refused. Guards against a reset of the flow
+// (FLOW).
+TEST_CASE("HostHealthTest.ADrainingHostThatRefusesOneProbeIsNotUnreachableYet") {
+    host_health health;
+    note_progress(health, at_ms(4000));
+    note_probe_started(health, at_ms(14'331));
+    note_draining_probe_ended(health, probe_outcome::refused, at_ms(14'331), at_ms(14'335));
+    CHECK_FALSE(is_unreachable(health, at_ms(14'336)));
+    CHECK_FALSE(is_probe_due(health, at_ms(14'500)));
+    REQUIRE(is_probe_due(health, at_ms(14'735)));
+    note_probe_started(health, at_ms(14'735));
+    note_draining_probe_ended(health, probe_outcome::refused, at_ms(14'735), at_ms(14'739));
+    CHECK(is_unreachable(health, at_ms(14'740)));
+}
+
+TEST_CASE("HostHealthTest.AnAnswerAfterARefusalOfADrainingHostEndsTheDoubt") {
+    host_health health;
+    note_probe_started(health, at_ms(100));
+    note_draining_probe_ended(health, probe_outcome::refused, at_ms(100), at_ms(104));
+    note_answer(health, at_ms(20), at_ms(150));
+    CHECK_FALSE(is_probe_due(health, at_ms(1000)));
+    note_probe_started(health, at_ms(1000));
+    note_draining_probe_ended(health, probe_outcome::refused, at_ms(1000), at_ms(1004));
+    CHECK_FALSE(is_unreachable(health, at_ms(1005)));
+}
+
 TEST_CASE("HostHealthTest.AHostThatStallsAgainIsAvoidedForLongerUpToALimit") {
     host_health health;
     std::vector<std::int64_t> avoided_ms;
