Answer "not ready" from one place

Cause: the answers to /v1/ready and /v1/neighbour each asked twice whether the director is ready, once for the status and once for the body, so that a view published in between gave 200 with "not ready"; the two were copies.

Change: one answer for a director that is not ready; a source of news is set without a copy. No other change in behaviour.

--- a/apps/director/control_duty.cpp
+++ b/apps/director/control_duty.cpp
@@ -84,18 +84,21 @@
 
     void add_routes() {
         router_.add("GET", "/v1/ready", [this](const http_request&, const http_responder& respond) {
-            respond({.status = is_ready() ? 200 : answer_for(error_kind::unavailable).http_status,
-                     .body = is_ready() ? R"({"status":"ready"})" : R"({"status":"not ready"})"});
+            respond(is_ready() ? http_response{.body = R"({"status":"ready"})"} : not_ready());
         });
         router_.add("GET", "/v1/neighbour", [this](const http_request&, const http_responder& respond) {
-            respond({.status = is_ready() ? 200 : answer_for(error_kind::unavailable).http_status,
-                     .body = is_ready() ? describe_neighbourhood() : R"({"status":"not ready"})"});
+            respond(is_ready() ? http_response{.body = describe_neighbourhood()} : not_ready());
         });
         router_.add("GET", "/metrics", [this](const http_request&, const http_responder& respond) {
             respond({.content_type = "text/plain; version=0.0.4", .body = context_.counters.to_prometheus()});
         });
     }
 
+    [[nodiscard]] static http_response not_ready() {
+        return {.status = answer_for(error_kind::unavailable).http_status,
+                .body = R"({"status":"not ready"})"};
+    }
+
     [[nodiscard]] bool is_ready() const {
         const auto view = context_.view.get();
         return !context_.leaving && view != nullptr && view->routes != nullptr && view->upstreams != nullptr;
--- a/apps/director/news_exchange.cpp
+++ b/apps/director/news_exchange.cpp
@@ -125,8 +125,7 @@
                    {"listing_revision", std::to_string(hooks_.listing().revision)}});
     }
     const auto follows_until = role_.reads ? mono_time{} : coverage ? coverage->until : reconsider_at;
-    const news_source source{.reads = role_.reads, .follows_until = follows_until, .coverage = coverage};
-    source_ = source;
+    source_ = {.reads = role_.reads, .follows_until = follows_until, .coverage = coverage};
     hooks_.source_changed(source_);
     if (role_.reads && !read_before) {
         announce(std::nullopt);
