Read on while bytes come, and start directors from cached answers

Each start also made three calls of full price (configuration, two pages of the listing).

Change: a reading is given up when no byte arrives for 0.7 s, not when it takes longer. A director on which nobody relies reads its first configuration and listing from cached answers, a tenth of the price and outside the rate limit; readers' reports (digest, revision) show whether something is missing, and two attempts to catch up without effect lead to a reading of everything. A reader whose listing was never verified reads the newest one. Before the operator's first configuration only readers ask for it.

Ruled out: the processor (0.09 of a core decodes a configuration in about 0.1 s).

--- a/apps/director/store_reader.cpp
+++ b/apps/director/store_reader.cpp
@@ -76,6 +76,7 @@
       configuration_version_(
           context.counters.get("configuration_version", "Version in force", "", counter_kind::gauge)) {
     view_.own_failure_domain = context.settings.failure_domain;
+    note_reader(sync_, false, now());
 }
 
 void store_reader::start(std::function<void(const std::optional<listing_delta>&)> announce) {
@@ -85,7 +86,8 @@
 }
 
 std::optional<reader_report> store_reader::report() const {
-    const bool complete = configuration_revision_ != 0 && listing_revision_ != 0;
+    const bool awaits_first = sync_of(sync_, store_subject::configuration).absent;
+    const bool complete = (configuration_revision_ != 0 || awaits_first) && listing_revision_ != 0;
     if (!complete || sync_.steady_since == mono_time::max()) {
         return std::nullopt;
     }
@@ -122,9 +124,11 @@
     const bool takes_over = source.reads && !source_.reads;
     source_ = source;
     note_coverage(sync_, source.follows_until);
+    note_reader(sync_, source.reads, now());
     const auto coverage = source.coverage.value_or(relay_coverage{});
-    if (listing_revision_ != 0) {
+    if (listing_revision_ != 0 && coverage.confirmed_revision != 0) {
         listing_.watched_revision = std::max(listing_.watched_revision, coverage.confirmed_revision);
+        note_confirmed(sync_, store_subject::listing);
     }
     note_behind(sync_, store_subject::listing, coverage.listing_differs, now());
     note_behind(sync_, store_subject::configuration,
@@ -189,7 +193,7 @@
     check_started_ = now();
     const auto target = is_configuration ? item_target(configuration_key, read_mode::cached)
                                          : page_target(upstream_prefix, "", read_mode::cached);
-    check_session_.get(target, now() + read_timeout,
+    check_session_.get(target, limits_of(reading_kind::whole_cached, check_started_),
                        [this, is_configuration](const result<http_response>& answer) {
                            is_configuration ? check_configuration(answer) : check_listing(answer);
                        });
@@ -258,6 +262,7 @@
             watch(due, upstream_prefix, &store_reader::listing_watched);
         } else {
             pages_ = {};
+            pages_cached_ = due.kind == reading_kind::whole_cached;
             read_page("");
         }
     }
@@ -279,7 +284,7 @@
     const auto wait = due.kind == reading_kind::catch_up ? catch_up_wait : watch_wait;
     watches_.add();
     reading.session.get(watch_target(prefix, reading.watched_revision, wait),
-                        reading.started + wait + read_timeout,
+                        limits_of(due.kind, reading.started),
                         [this, answered](const result<http_response>& answer) { (this->*answered)(answer); });
 }
 
@@ -288,7 +293,7 @@
     (cached ? cached_reads_ : whole_reads_).add();
     configuration_.session.get(
         item_target(configuration_key, cached ? read_mode::cached : read_mode::newest),
-        configuration_.started + read_timeout,
+        limits_of(kind, configuration_.started),
         [this, kind](const result<http_response>& answer) { configuration_answered(kind, answer); });
 }
 
@@ -361,8 +366,9 @@
 }
 
 void store_reader::read_page(const std::string& after_key) {
-    whole_reads_.add();
-    listing_.session.get(page_target(upstream_prefix, after_key, read_mode::newest), now() + read_timeout,
+    (pages_cached_ ? cached_reads_ : whole_reads_).add();
+    const auto mode = pages_cached_ ? read_mode::cached : read_mode::newest;
+    listing_.session.get(page_target(upstream_prefix, after_key, mode), limits_of(reading_kind::whole, now()),
                          [this](const result<http_response>& answer) { page_answered(answer); });
 }
 
@@ -383,6 +389,10 @@
         read_page(page->items.back().key);
         return;
     }
+    pages_cached_ ? apply_cached_listing() : apply_whole_listing();
+}
+
+void store_reader::apply_whole_listing() {
     const auto time = now();
     const auto changes = apply_listing(directory_, pages_, time, time - keep_unlisted);
     const auto delta = delta_between(listing_revision_, pages_, changes);
@@ -394,6 +404,20 @@
     announce_(delta);
 }
 
+/// What a cached listing does not show may have left or may not be there yet, so it removes nothing, and news
+/// are taken from its newest entry on.
+void store_reader::apply_cached_listing() {
+    const auto time = now();
+    upstream_news news{.revision = 1};
+    for (auto& report : pages_.reports) {
+        news.revision = std::max(news.revision, report.revision);
+        news.reports.push_back(std::move(report));
+    }
+    apply_changes(apply_news(directory_, news, time, time - keep_unlisted), "store");
+    listing_revision_ = std::max(listing_revision_, news.revision);
+    succeeded({.subject = store_subject::listing, .kind = reading_kind::whole_cached}, news.revision);
+}
+
 void store_reader::listing_watched(const result<http_response>& answer) {
     const auto news = decode_answer(answer, decode_news);
     if (!news) {
@@ -465,7 +489,8 @@
     }
     const bool was_steady = sync_.steady_since != mono_time::max();
     note_read(sync_, reading, subject.started, now());
-    if (reading.subject == store_subject::configuration) {
+    // A cached answer does not show that there is nothing newer.
+    if (reading.subject == store_subject::configuration && reading.kind != reading_kind::whole_cached) {
         routes_read_until_ = now() + watch_wait + read_timeout;
     }
     if (!was_steady) {
@@ -479,7 +504,8 @@
     const bool lost = sync_.steady_since == mono_time::max();
     const bool relies = source_.coverage && (follows() || lost);
     view_.steady_since = relies ? source_.coverage->steady_since : sync_.steady_since;
-    const bool newest = relies && source_.coverage->configuration_revision <= configuration_revision_;
+    const auto named = relies ? source_.coverage->configuration_revision : 0;
+    const bool newest = named != 0 && named <= configuration_revision_;
     view_.routes_trusted_until = newest ? source_.coverage->until : routes_read_until_;
     context_.view.set(std::make_shared<const fleet_view>(view_));
 }
--- a/apps/director/store_reader.hpp
+++ b/apps/director/store_reader.hpp
@@ -67,6 +67,8 @@
     void apply_configuration(const platform_adapter::store_item& item);
     void read_page(const std::string& after_key);
     void page_answered(const result<http_response>& answer);
+    void apply_whole_listing();
+    void apply_cached_listing();
     void listing_watched(const result<http_response>& answer);
     void apply_changes(const std::vector<upstream_change>& changes, std::string_view source);
     [[nodiscard]] bool follows() const noexcept;
@@ -89,6 +91,7 @@
     store_sync sync_;
     upstream_directory directory_;
     upstream_listing pages_;  ///< of the whole reading in progress
+    bool pages_cached_{false};  ///< and whether its answers may be older
     fleet_view view_;
     std::function<void(const std::optional<listing_delta>&)> announce_;
     news_source source_;
--- a/libs/director/include/guavaramp/director/store_sync.hpp
+++ b/libs/director/include/guavaramp/director/store_sync.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <guavaramp/base/call_limits.hpp>
 #include <guavaramp/base/time.hpp>
 
 #include <array>
@@ -38,8 +39,12 @@
 /// First wait after a reading that failed; doubles up to `longest_retry_wait`.
 inline constexpr auto retry_wait = std::chrono::milliseconds{100};
 inline constexpr auto longest_retry_wait = std::chrono::milliseconds{500};
-/// How long a reading may take. Above the slowest answers that the platform announces (60 times 4 ms).
+/// How long the store may take to begin its answer, and then to go on with it. Above the slowest answers that
+/// the platform announces (60 times 4 ms).
 inline constexpr auto read_timeout = std::chrono::milliseconds{700};
+/// How long a reading may take while bytes keep coming. When the whole fleet starts, all directors read
+/// everything at once, and the store's link is the narrowest place: 1,000 of them take 5 s for 600 KB each.
+inline constexpr auto longest_reading = std::chrono::milliseconds{15000};
 /// How long after the store's return an upstream may take to be listed again: two seconds by its contract,
 /// and one reading.
 inline constexpr auto relisting_time = std::chrono::milliseconds{2500};
@@ -52,6 +57,9 @@
 /// Cached readings that may be too old before the newest one is asked for: with the waits between them,
 /// `least_configuration_period` here and at the reader, the change is in force within 2.6 of the 3 s.
 inline constexpr std::uint32_t most_cached_readings = 2;
+/// Readings in a row of what has changed that may leave the listing different from a reader's; then all of it is
+/// read.
+inline constexpr std::uint32_t most_catch_ups = 2;
 /// Wait after a reading that failed while other directors' news cover it: the store serves others, and this
 /// director need not press it.
 inline constexpr auto covered_retry_wait = std::chrono::milliseconds{3000};
@@ -77,6 +85,9 @@
     /// Since when other directors are known to have a newer revision; the maximum when none has.
     mono_time behind_since{mono_time::max()};
     std::uint32_t old_readings{0};  ///< cached ones in a row that did not show the newer revision
+    std::uint32_t catch_ups{0};     ///< in a row, while others still have something else
+    /// Was complete at some time: read in whole from the newest state, or confirmed by readers.
+    bool verified{false};
 };
 
 struct store_sync {
@@ -85,6 +96,10 @@
         mono_time::max()};  ///< first success after the last failure; the maximum: none yet
     /// Deadline until which other directors' news take the place of watches; the epoch for a reader.
     mono_time covered_until{};
+    /// Others rely on what this director reads, so it reads the newest state. Cached answers, which cost a tenth
+    /// and do not count towards the store's limit, do for the first readings of the others: the readers'
+    /// reports show whether something is missing.
+    bool is_reader{true};
 };
 
 /// A reading to start now.
@@ -93,6 +108,9 @@
     reading_kind kind;
 };
 
+/// When a reading that starts at `started` is given up. Thread-safe.
+[[nodiscard]] call_limits limits_of(reading_kind kind, mono_time started) noexcept;
+
 /// The state of `subject`. Thread-safe for different objects.
 [[nodiscard]] subject_sync& sync_of(store_sync& sync, store_subject subject) noexcept;
 [[nodiscard]] const subject_sync& sync_of(const store_sync& sync, store_subject subject) noexcept;
@@ -115,11 +133,18 @@
 /// Sets until when other directors' news take the place of watches. Not thread-safe.
 void note_coverage(store_sync& sync, mono_time until) noexcept;
 
+/// Sets whether others rely on this director. A reader whose listing is not verified reads all of it. Not
+/// thread-safe.
+void note_reader(store_sync& sync, bool is_reader, mono_time now) noexcept;
+
+/// Readers have confirmed that `subject` is complete here. Not thread-safe.
+void note_confirmed(store_sync& sync, store_subject subject) noexcept;
+
 /// Whether other directors have a newer revision of `subject`. Not thread-safe.
 void note_behind(store_sync& sync, store_subject subject, bool behind, mono_time now) noexcept;
 
-/// A reading has shown that the subject does not exist yet. Cached readings are enough to see it appear. Not
-/// thread-safe.
+/// A reading has shown that the subject does not exist yet. Cached readings are enough to see it appear, and
+/// those of readers are enough for the others. Not thread-safe.
 void note_absent(store_sync& sync, store_subject subject, mono_time now) noexcept;
 
 /// The store has discarded the history that a watch needs: everything is read anew, soon. The store has
--- a/libs/director/src/store_sync.cpp
+++ b/libs/director/src/store_sync.cpp
@@ -18,7 +18,13 @@
 
 /// Whether the subject's watch is left to other directors.
 bool is_covered(const store_sync& sync, const subject_sync& state) noexcept {
-    return state.known && sync.covered_until != mono_time{};
+    return (state.known || state.absent) && sync.covered_until != mono_time{};
+}
+
+/// Whether a director must read the listing in whole because others rely on it. A configuration that came from
+/// a cached answer is brought up to date by its watch.
+bool must_verify(const store_sync& sync, store_subject subject, bool verified) noexcept {
+    return sync.is_reader && subject == store_subject::listing && !verified;
 }
 
 mono_time due_at(const store_sync& sync, store_subject subject) noexcept {
@@ -35,21 +41,31 @@
 
 reading_kind next_kind(const store_sync& sync, store_subject subject, mono_time now) noexcept {
     const auto& state = sync_of(sync, subject);
+    const bool cached_allowed = state.old_readings < most_cached_readings;
     if (state.read_whole) {
-        return state.absent ? reading_kind::whole_cached : reading_kind::whole;
+        const bool cached_does = state.absent || (!sync.is_reader && !state.known);
+        return cached_does && cached_allowed ? reading_kind::whole_cached : reading_kind::whole;
     }
     const bool follows = is_covered(sync, state) && is_behind(state) && now < sync.covered_until;
     if (!follows) {
         return reading_kind::watch;
     }
     if (subject == store_subject::listing) {
-        return reading_kind::catch_up;
+        return state.catch_ups < most_catch_ups ? reading_kind::catch_up : reading_kind::whole;
     }
-    return state.old_readings < most_cached_readings ? reading_kind::whole_cached : reading_kind::whole;
+    return cached_allowed ? reading_kind::whole_cached : reading_kind::whole;
 }
 
 }  // namespace
 
+call_limits limits_of(reading_kind kind, mono_time started) noexcept {
+    const auto wait = kind == reading_kind::watch      ? watch_wait
+                      : kind == reading_kind::catch_up ? catch_up_wait
+                                                       : std::chrono::milliseconds{0};
+    const auto answer_by = started + wait + read_timeout;
+    return {.answer_by = answer_by, .longest_silence = read_timeout, .deadline = answer_by + longest_reading};
+}
+
 subject_sync& sync_of(store_sync& sync, store_subject subject) noexcept {
     return sync.subjects[static_cast<std::size_t>(subject)];
 }
@@ -72,9 +88,17 @@
 void note_read(store_sync& sync, const due_reading& reading, mono_time started, mono_time now) noexcept {
     const bool configuration = reading.subject == store_subject::configuration;
     const auto least_period = configuration ? least_configuration_period : least_listing_period;
+    auto& state = sync_of(sync, reading.subject);
+    const bool whole = reading.kind == reading_kind::whole;
     // The first watch follows the reading at once; the time since then is not covered yet.
-    const auto next_at = reading.kind == reading_kind::whole ? now : std::max(now, started + least_period);
-    sync_of(sync, reading.subject) = {.next_at = next_at, .read_whole = false, .known = true};
+    const auto next_at = whole || !state.known ? now : std::max(now, started + least_period);
+    const bool verified = whole || state.verified;
+    const bool caught_up = reading.kind == reading_kind::catch_up;
+    state = {.next_at = next_at,
+             .read_whole = must_verify(sync, reading.subject, verified),
+             .known = true,
+             .catch_ups = caught_up ? state.catch_ups + 1 : 0,
+             .verified = verified};
     if (sync.steady_since == mono_time::max()) {
         sync.steady_since = now;
     }
@@ -89,11 +113,24 @@
 
 void note_coverage(store_sync& sync, mono_time until) noexcept { sync.covered_until = until; }
 
+void note_reader(store_sync& sync, bool is_reader, mono_time now) noexcept {
+    sync.is_reader = is_reader;
+    const auto& listing = sync_of(sync, store_subject::listing);
+    if (listing.known && !listing.reading && must_verify(sync, store_subject::listing, listing.verified)) {
+        want_whole(sync, store_subject::listing, now);
+    }
+}
+
+void note_confirmed(store_sync& sync, store_subject subject) noexcept {
+    sync_of(sync, subject).verified = true;
+}
+
 void note_behind(store_sync& sync, store_subject subject, bool behind, mono_time now) noexcept {
     auto& state = sync_of(sync, subject);
     if (!behind) {
         state.behind_since = mono_time::max();
         state.old_readings = 0;
+        state.catch_ups = 0;
     } else if (!is_behind(state)) {
         state.behind_since = now;
     }
@@ -111,7 +148,11 @@
 }
 
 void note_absent(store_sync& sync, store_subject subject, mono_time now) noexcept {
-    sync_of(sync, subject) = {.next_at = now + longest_retry_wait, .absent = true};
+    auto& state = sync_of(sync, subject);
+    state = {.next_at = now + longest_retry_wait,
+             .absent = true,
+             .behind_since = state.behind_since,
+             .old_readings = is_behind(state) ? state.old_readings + 1 : 0};
 }
 
 bool is_needless_watch(const store_sync& sync, store_subject subject) noexcept {
--- a/libs/director/tests/store_sync_test.cpp
+++ b/libs/director/tests/store_sync_test.cpp
@@ -212,5 +212,96 @@
     CHECK(start(sync, store_subject::listing, 10).kind == reading_kind::whole);
 }
 
+// --- Starts of many directors -----------------------------------------------------------------------------
+
+/// A director that has just started and does not know yet whether others rely on it.
+store_sync starting_sync() {
+    store_sync sync;
+    note_reader(sync, false, at_ms(0));
+    return sync;
+}
+
+// Load pattern: hundreds of directors start at once. Guards against as many of the dear, rate-limited readings
+// as there are directors.
+TEST_CASE("StoreSyncTest.ADirectorOnWhichNobodyReliesStartsFromCachedAnswers") {
+    auto sync = starting_sync();
+    const auto listing = start(sync, store_subject::listing, 0);
+    CHECK(listing.kind == reading_kind::whole_cached);
+    note_read(sync, listing, at_ms(0), at_ms(20));
+    CHECK(start(sync, store_subject::configuration, 0).kind == reading_kind::whole_cached);
+    (void)note_read_failure(sync, store_subject::configuration, false, at_ms(700));
+    CHECK(start(sync, store_subject::configuration, 800).kind == reading_kind::whole_cached);
+    note_coverage(sync, at_ms(3000));
+    due_reading due{};
+    CHECK_FALSE(start_if_due(sync, store_subject::listing, at_ms(2999), due));
+}
+
+// Guards against a reader that passes on what a cached answer left out.
+TEST_CASE("StoreSyncTest.AReaderReadsTheNewestListingUnlessReadersHaveConfirmedItsOwn") {
+    auto sync = starting_sync();
+    note_read(sync, start(sync, store_subject::listing, 0), at_ms(0), at_ms(20));
+    auto confirmed = sync;
+    note_reader(sync, true, at_ms(900));
+    CHECK(start(sync, store_subject::listing, 900).kind == reading_kind::whole);
+    note_confirmed(confirmed, store_subject::listing);
+    note_reader(confirmed, true, at_ms(900));
+    CHECK(start(confirmed, store_subject::listing, 900).kind == reading_kind::watch);
+}
+
+// The same when it becomes a reader before the cached answer has come.
+TEST_CASE("StoreSyncTest.AReaderReadsTheNewestListingAfterACachedReadingInProgress") {
+    auto sync = starting_sync();
+    const auto first = start(sync, store_subject::listing, 0);
+    note_reader(sync, true, at_ms(10));
+    note_read(sync, first, at_ms(0), at_ms(20));
+    const auto second = start(sync, store_subject::listing, 20);
+    CHECK(second.kind == reading_kind::whole);
+    note_read(sync, second, at_ms(20), at_ms(30));
+    CHECK(start(sync, store_subject::listing, 30).kind == reading_kind::watch);
+}
+
+// Guards against a first configuration that is too old and that a director reads again and again.
+TEST_CASE("StoreSyncTest.AFirstConfigurationThatStaysOldIsReadFromTheNewestState") {
+    auto sync = starting_sync();
+    std::int64_t now_ms = 0;
+    for (std::uint32_t reading = 0; reading < most_cached_readings; ++reading) {
+        CHECK(start(sync, store_subject::configuration, now_ms).kind == reading_kind::whole_cached);
+        note_old_reading(sync, store_subject::configuration, at_ms(now_ms));
+        now_ms += std::chrono::milliseconds{cached_retry_wait}.count();
+    }
+    CHECK(start(sync, store_subject::configuration, now_ms).kind == reading_kind::whole);
+}
+
+// Load pattern: a fleet of hundreds waits for its operator's first configuration. Guards against all of them
+// asking the store for it twice a second.
+TEST_CASE("StoreSyncTest.WhileReadersReportOnlyTheyLookForTheFirstConfiguration") {
+    auto sync = starting_sync();
+    (void)start(sync, store_subject::configuration, 0);
+    note_absent(sync, store_subject::configuration, at_ms(4));
+    note_coverage(sync, at_ms(1504));
+    due_reading due{};
+    CHECK_FALSE(start_if_due(sync, store_subject::configuration, at_ms(1503), due));
+    note_behind(sync, store_subject::configuration, true, at_ms(1400));
+    CHECK(start(sync, store_subject::configuration, 1400).kind == reading_kind::whole_cached);
+    note_absent(sync, store_subject::configuration, at_ms(1404));
+    CHECK(sync_of(sync, store_subject::configuration).next_at == at_ms(1404) + longest_retry_wait);
+}
+
+// Guards against a listing that stays different from the readers', because what is missing lies before the
+// revision from which the director asks for changes.
+TEST_CASE("StoreSyncTest.AListingThatChangesDoNotMendIsReadInWhole") {
+    auto sync = covered_sync(100'000);
+    std::int64_t now_ms = 5000;
+    for (std::uint32_t reading = 0; reading < most_catch_ups; ++reading) {
+        note_behind(sync, store_subject::listing, true, at_ms(now_ms));
+        now_ms += 2000;
+        const auto due = start(sync, store_subject::listing, now_ms);
+        CHECK(due.kind == reading_kind::catch_up);
+        note_read(sync, due, at_ms(now_ms), at_ms(now_ms + 4));
+    }
+    note_behind(sync, store_subject::listing, true, at_ms(now_ms + 10));
+    CHECK(start(sync, store_subject::listing, now_ms + 2000).kind == reading_kind::whole);
+}
+
 }  // namespace
 }  // namespace guavaramp
--- a/libs/net/include/guavaramp/net/http_session.hpp
+++ b/libs/net/include/guavaramp/net/http_session.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <guavaramp/base/address.hpp>
+#include <guavaramp/base/call_limits.hpp>
 #include <guavaramp/base/error.hpp>
 #include <guavaramp/base/time.hpp>
 #include <guavaramp/net/http.hpp>
@@ -30,6 +31,9 @@
     /// Sends a request without a body; otherwise as `post`.
     void get(const std::string& target, mono_time deadline, handler done);
 
+    /// The same with separate limits for the answer's start, its progress and its end.
+    void get(const std::string& target, const call_limits& limits, handler done);
+
     /// Sends a request with a JSON body. `done` runs once, later, unless the session is destroyed before.
     /// Errors given to `done`: `unavailable`, `malformed` (no HTTP answer, or one longer than the limit),
     /// `deadline_exceeded`. The peer may have received the request in all of these cases. Precondition:
--- a/libs/net/src/http_session.cpp
+++ b/libs/net/src/http_session.cpp
@@ -45,7 +45,7 @@
         };
     }
 
-    void start(std::string message, mono_time deadline, handler handle) {
+    void start(std::string message, const call_limits& allowed, handler handle) {
         ++call;
         done = std::move(handle);
         answer = {};
@@ -53,12 +53,9 @@
         http_parser_init(&parser, HTTP_RESPONSE);
         parser.data = this;
         request = std::move(message);
-        timer.expires_at(deadline);
-        timer.async_wait([self = shared_from_this(), number = call](const std::error_code& failure) {
-            if (!failure && self->call == number) {
-                self->finish(fail(error_kind::deadline_exceeded, "no answer from " + to_string(self->peer)));
-            }
-        });
+        limits = allowed;
+        last_byte_at = {};
+        wait_for_progress();
         if (connected) {
             write();
         } else {
@@ -66,6 +63,21 @@
         }
     }
 
+    /// Bytes that arrive do not move the timer: one that fires early waits again.
+    void wait_for_progress() {
+        timer.expires_at(give_up_at(limits, last_byte_at));
+        timer.async_wait([self = shared_from_this(), number = call](const std::error_code& failure) {
+            if (failure || self->call != number) {
+                return;
+            }
+            if (std::chrono::steady_clock::now() < give_up_at(self->limits, self->last_byte_at)) {
+                self->wait_for_progress();
+                return;
+            }
+            self->finish(fail(error_kind::deadline_exceeded, "no answer from " + to_string(self->peer)));
+        });
+    }
+
     void connect() {
         socket.async_connect(
             to_asio(peer), [self = shared_from_this(), number = call](const std::error_code& failure) {
@@ -127,6 +139,7 @@
     }
 
     void parse(std::size_t received) {
+        last_byte_at = std::chrono::steady_clock::now();
         const auto parsed = http_parser_execute(&parser, &callbacks, chunk.data(), received);
         if (HTTP_PARSER_ERRNO(&parser) != HPE_OK || (parsed != received && !complete)) {
             finish(fail(error_kind::malformed, "no HTTP answer from " + to_string(peer)));
@@ -171,6 +184,8 @@
     http_parser_settings callbacks{};
     std::array<char, read_chunk_bytes> chunk{};
     std::string request;
+    call_limits limits;
+    mono_time last_byte_at{};  ///< of the answer; the epoch before its first one
     http_response answer;
     handler done;
     std::uint64_t call{0};
@@ -189,7 +204,11 @@
 }
 
 void http_session::get(const std::string& target, mono_time deadline, handler done) {
-    state_->start("GET " + target + " HTTP/1.1\r\nHost: " + to_string(state_->peer) + "\r\n\r\n", deadline,
+    get(target, within(deadline), std::move(done));
+}
+
+void http_session::get(const std::string& target, const call_limits& limits, handler done) {
+    state_->start("GET " + target + " HTTP/1.1\r\nHost: " + to_string(state_->peer) + "\r\n\r\n", limits,
                   std::move(done));
 }
 
@@ -198,7 +217,7 @@
     state_->start("POST " + target + " HTTP/1.1\r\nHost: " + to_string(state_->peer) +
                       "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
                       "\r\n\r\n" + body,
-                  deadline, std::move(done));
+                  within(deadline), std::move(done));
 }
 
 bool http_session::is_busy() const noexcept { return state_->done != nullptr; }
--- a/libs/net/tests/http_session_test.cpp
+++ b/libs/net/tests/http_session_test.cpp
@@ -87,6 +87,81 @@
     CHECK(run_get(io, session)->status == 503);
 }
 
+/// A server that sends one answer in pieces with a pause before each.
+struct slow_server {
+    tcp::acceptor acceptor;
+    tcp::socket socket;
+    asio::steady_timer timer;
+    std::vector<std::string> pieces;
+    std::chrono::milliseconds pause;
+
+    slow_server(asio::io_context& io, std::vector<std::string> scripted, std::chrono::milliseconds between)
+        : acceptor(io, tcp::endpoint{asio::ip::address_v4::loopback(), 0}),
+          socket(io),
+          timer(io),
+          pieces(std::move(scripted)),
+          pause(between) {
+        acceptor.async_accept(socket, [this](const std::error_code&) { send(0); });
+    }
+
+    void send(std::size_t position) {
+        if (position == pieces.size()) {
+            return;
+        }
+        timer.expires_after(pause);
+        timer.async_wait([this, position](const std::error_code& failure) {
+            if (!failure) {
+                asio::write(socket, asio::buffer(pieces[position]));
+                send(position + 1);
+            }
+        });
+    }
+
+    [[nodiscard]] endpoint local() const {
+        return {.address = from_ipv4(INADDR_LOOPBACK), .port = acceptor.local_endpoint().port()};
+    }
+};
+
+result<http_response> run_get_within(asio::io_context& io, http_session& session, const call_limits& limits) {
+    std::optional<result<http_response>> outcome;
+    session.get("/x", limits, [&outcome](result<http_response> ended) { outcome = std::move(ended); });
+    while (!outcome) {
+        io.run_one();
+    }
+    return *outcome;
+}
+
+// Guards against transfers that are given up and begun anew while a store with many readers still sends them.
+TEST_CASE("HttpSessionTest.AnAnswerThatMakesProgressMayTakeLongerThanItsStart") {
+    asio::io_context io;
+    slow_server server{io,
+                       {"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n", "a", "b", "c", "d", "e", "f"},
+                       std::chrono::milliseconds{200}};
+    http_session session{io, server.local()};
+    const auto answer = run_get_within(io, session,
+                                       {.answer_by = after_ms(1000),
+                                        .longest_silence = std::chrono::milliseconds{1000},
+                                        .deadline = after_ms(60'000)});
+    REQUIRE(answer.has_value());
+    CHECK(answer->body == "abcdef");
+}
+
+// Guards against a call that hangs on a connection that went silent in the middle of an answer.
+TEST_CASE("HttpSessionTest.AnAnswerThatStopsIsGivenUpBeforeTheCallsDeadline") {
+    asio::io_context io;
+    slow_server server{
+        io, {"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc"}, std::chrono::milliseconds{1}};
+    http_session session{io, server.local()};
+    const auto deadline = after_ms(60'000);
+    const auto answer = run_get_within(io, session,
+                                       {.answer_by = after_ms(10'000),
+                                        .longest_silence = std::chrono::milliseconds{100},
+                                        .deadline = deadline});
+    REQUIRE_FALSE(answer.has_value());
+    CHECK(answer.error().kind == error_kind::deadline_exceeded);
+    CHECK(std::chrono::steady_clock::now() < deadline);
+}
+
 // Guards against a late answer that is taken for that of the next call.
 TEST_CASE("HttpSessionTest.AfterADeadlineTheNextCallUsesANewConnection") {
     asio::io_context io;
