Ask readers, not the store, for missing changes; let few directors try a store that is down

Change: a follower asks a reader for all changes after its revision and the store only 0.3 s later. A reader that the store does not answer says so; after eight of them each further director waits 250 ms more.

--- a/apps/director/control_duty.cpp
+++ b/apps/director/control_duty.cpp
@@ -41,6 +41,7 @@
                 {.report = [this] { return reader_.report(); },
                  .listing = [this] { return reader_.listing(); },
                  .apply = [this](const listing_delta& delta) { reader_.apply_relayed(delta); },
+                 .changes_after = [this](std::uint64_t revision) { return reader_.changes_after(revision); },
                  .source_changed =
                      [this](const news_source& source) {
                          reader_.follow(source);
--- a/apps/director/news_exchange.cpp
+++ b/apps/director/news_exchange.cpp
@@ -72,6 +72,12 @@
     if (message->delta) {
         hooks_.apply(*message->delta);
     }
+    if (!source_.reads) {
+        note_difference(question_, sender, message->report, hooks_.listing(), time);
+    }
+    if (message->wants_after) {
+        answer_question(sender, *message->wants_after);
+    }
     if (message->expected_incarnation != 0) {
         hooks_.outdated(message->expected_incarnation);
     }
@@ -91,7 +97,7 @@
 
 /// What this director says of itself; only a reader's own knowledge counts.
 reader_report news_exchange::own_report() const {
-    return source_.reads ? hooks_.report().value_or(make_greeting()) : make_greeting();
+    return source_.reads ? hooks_.report().value_or(make_lost_report()) : make_greeting();
 }
 
 std::vector<endpoint> news_exchange::readers_heard() const {
@@ -100,6 +106,26 @@
     return heard;
 }
 
+void news_exchange::answer_question(const endpoint& sender, std::uint64_t after_revision) {
+    const auto delta = source_.reads ? hooks_.changes_after(after_revision) : std::nullopt;
+    if (!delta) {
+        return;
+    }
+    for (auto& part : split_delta(*delta)) {
+        send_to(std::span{&sender, 1}, {.report = own_report(), .delta = std::move(part)});
+    }
+}
+
+/// Asks a reader for what is missing here. Without an answer the store is asked, see `repair_wait`.
+void news_exchange::ask_due() {
+    if (now() < question_.ask_at) {
+        return;
+    }
+    question_.ask_at = mono_time::max();
+    send_to(std::span{&question_.reader, 1},
+            {.report = make_greeting(), .wants_after = hooks_.listing().revision});
+}
+
 void news_exchange::refuse(const endpoint& sender, std::uint64_t expected_incarnation) {
     send_to(std::span{&sender, 1}, {.report = own_report(), .expected_incarnation = expected_incarnation});
 }
@@ -107,6 +133,7 @@
 void news_exchange::wake() {
     const auto time = now();
     greet_due();
+    ask_due();
     const auto reconsider_at = update_source();
     if (time >= report_at_) {
         report_at_ = time + report_period;
@@ -118,7 +145,7 @@
 void news_exchange::wait_until(mono_time reconsider_at) {
     const auto look_at = has_greeted_ ? mono_time::max() : now() + first_look_period;
     const auto greet_at = has_greeted_ ? greet_at_ : mono_time::max();
-    timer_.expires_at(std::min({report_at_, reconsider_at, look_at, greet_at}));
+    timer_.expires_at(std::min({report_at_, reconsider_at, look_at, greet_at, question_.ask_at}));
     timer_.async_wait([this](const std::error_code& failure) {
         if (!failure) {
             wake();
@@ -197,17 +224,17 @@
 }
 
 void news_exchange::announce(const std::optional<listing_delta>& delta) {
-    const auto report = hooks_.report();
-    if (!source_.reads || !report) {
+    if (!source_.reads) {
         return;
     }
+    const auto report = own_report();
     const auto receivers = listed_peers();
     if (!delta) {
-        send_to(receivers, {.report = *report, .readers = readers_to_name()});
+        send_to(receivers, {.report = report, .readers = readers_to_name()});
         return;
     }
     for (auto& part : split_delta(*delta)) {
-        send_to(receivers, {.report = *report, .delta = std::move(part)});
+        send_to(receivers, {.report = report, .delta = std::move(part)});
     }
 }
 
--- a/apps/director/news_exchange.hpp
+++ b/apps/director/news_exchange.hpp
@@ -26,6 +26,8 @@
     std::function<std::optional<reader_report>()> report;
     std::function<listing_state()> listing;
     std::function<void(const listing_delta&)> apply;
+    /// All changes of the listing after a revision.
+    std::function<std::optional<listing_delta>(std::uint64_t)> changes_after;
     std::function<void(const news_source&)> source_changed;
     /// How this director introduces itself, and what it does when another one has.
     std::function<roster_member()> self;
@@ -59,6 +61,8 @@
     void greet(std::span<const endpoint> receivers);
     void greet_unheard(std::span<const endpoint> named);
     void answer(const endpoint& sender);
+    void answer_question(const endpoint& sender, std::uint64_t after_revision);
+    void ask_due();
     void refuse(const endpoint& sender, std::uint64_t expected_incarnation);
     [[nodiscard]] reader_report own_report() const;
     [[nodiscard]] std::vector<endpoint> readers_heard() const;
@@ -76,6 +80,7 @@
     news_relay relay_;
     news_source source_;
     reader_role role_;
+    news_question question_;
     mono_time report_at_{};
     mono_time greet_at_{};
     bool has_greeted_{false};
--- a/apps/director/store_reader.cpp
+++ b/apps/director/store_reader.cpp
@@ -102,6 +102,10 @@
     return {.revision = listing_.watched_revision, .digest = listing_digest_};
 }
 
+std::optional<listing_delta> store_reader::changes_after(std::uint64_t revision) const {
+    return report() ? delta_since(directory_, listing().revision, revision) : std::nullopt;
+}
+
 void store_reader::apply_relayed(const listing_delta& delta) {
     if (listing_revision_ == 0 || delta.news.revision <= listing_.watched_revision) {
         return;
--- a/apps/director/store_reader.hpp
+++ b/apps/director/store_reader.hpp
@@ -33,6 +33,10 @@
     /// What this director knows of the listing.
     [[nodiscard]] listing_state listing() const noexcept;
 
+    /// All changes of the listing after `revision`, for a director that lacks them; nothing while this one is not
+    /// sure of its own listing, or when they are too many.
+    [[nodiscard]] std::optional<listing_delta> changes_after(std::uint64_t revision) const;
+
     /// Applies what another director has read, unless something before it is missing here.
     void apply_relayed(const listing_delta& delta);
 
--- a/libs/director/include/guavaramp/director/news_relay.hpp
+++ b/libs/director/include/guavaramp/director/news_relay.hpp
@@ -33,9 +33,14 @@
 /// Time between the directors that may take over from a reader: a report's way inside a failure domain and
 /// the receiver's wake-up, on a slow machine.
 inline constexpr auto takeover_step = std::chrono::milliseconds{50};
-/// Directors that are waited for in turn; all others follow at once. With `report_validity` a director is
-/// without news for 1.9 s at most.
+/// Directors that are waited for in turn; all others follow at once, unless the store does not answer those
+/// that have tried. With `report_validity` a director is without news for 1.9 s at most while it does.
 inline constexpr std::ptrdiff_t most_takeover_steps = 8;
+/// Once this many directors try in vain, the store is probably away for all, and each further one waits this
+/// much longer. The whole failure domain would otherwise press a store that is down.
+inline constexpr auto slow_takeover_step = std::chrono::milliseconds{250};
+/// Wait before a director asks a reader for what it lacks: the parts of one change come together.
+inline constexpr auto ask_wait = std::chrono::milliseconds{30};
 /// Longest time that a director waits for readers when the store names none, before it takes the place
 /// itself. Of 133 directors, the failure domain at the design size, 5 do so within the 0.5 s after the first
 /// one in which cached answers may not show its entry.
@@ -49,6 +54,8 @@
 inline constexpr std::size_t most_named_readers = 4;
 /// Entries of one message. With an entry of about 160 bytes the message stays below the path MTU.
 inline constexpr std::size_t most_relayed_entries = 7;
+/// Changes that a reader sends to a director that asks; one that lacks more reads the store.
+inline constexpr std::size_t most_asked_changes = 10 * most_relayed_entries;
 
 /// What a director knows of the listing.
 struct listing_state {
@@ -64,6 +71,7 @@
     std::uint64_t configuration_revision{0};  ///< of the configuration in force there
     std::uint32_t verified_age_ms{0};         ///< since the store last showed that its listing is complete
     std::uint32_t steady_age_ms{0};           ///< since when the store has answered it without a failure
+    bool store_lost{false};                   ///< it is a reader, and the store does not answer it
 
     friend bool operator==(const reader_report&, const reader_report&) = default;
 };
@@ -83,6 +91,8 @@
     std::optional<roster_member> introduction;
     /// Sockets of readers that the sender hears. With them a director that knows one reader finds the others.
     std::vector<endpoint> readers;
+    /// The sender asks for all changes of the listing after this revision.
+    std::optional<std::uint64_t> wants_after;
     /// The receiver's messages carry an incarnation below this one, which it had earlier: its clock was set
     /// back. 0: they do not.
     std::uint64_t expected_incarnation{0};
@@ -105,6 +115,11 @@
 [[nodiscard]] listing_delta delta_between(std::uint64_t after_revision, const upstream_listing& listing,
                                           std::span<const upstream_change> changes);
 
+/// All changes of `directory` after `after_revision`, when it is known up to `revision`; nothing when they are
+/// more than `most_asked_changes`. Not thread-safe.
+[[nodiscard]] std::optional<listing_delta> delta_since(const upstream_directory& directory,
+                                                       std::uint64_t revision, std::uint64_t after_revision);
+
 /// The readers that this director has heard, by the socket of their news. Not thread-safe.
 struct known_reader {
     reader_report report;
@@ -145,6 +160,19 @@
 void note_roster(reader_role& role, const endpoint& self, std::span<const endpoint> others, bool listed,
                  mono_time now);
 
+/// What a reader says that the store does not answer. Thread-safe.
+[[nodiscard]] reader_report make_lost_report() noexcept;
+
+/// A question to a reader that knows changes which are missing here.
+struct news_question {
+    endpoint reader;
+    mono_time ask_at{mono_time::max()};  ///< the maximum: nothing to ask
+};
+
+/// `sender` has reported while the own listing was `own`. Not thread-safe.
+void note_difference(news_question& question, const endpoint& sender, const reader_report& report,
+                     const listing_state& own, mono_time now);
+
 /// The readers that are relied on now, by their sockets. Not thread-safe.
 [[nodiscard]] std::vector<endpoint> heard_readers(const news_relay& relay, mono_time now);
 
--- a/libs/director/include/guavaramp/director/store_sync.hpp
+++ b/libs/director/include/guavaramp/director/store_sync.hpp
@@ -49,8 +49,9 @@
 /// and one reading.
 inline constexpr auto relisting_time = std::chrono::milliseconds{2500};
 /// How long a director that takes news of the listing from others waits for a lost message before it asks the
-/// store: the second reader's copy comes within a round trip, a reader's own reading takes some 10 ms.
-inline constexpr auto repair_wait = std::chrono::milliseconds{150};
+/// store: the second reader's copy comes within a round trip, a reader's own reading takes some 10 ms, and a
+/// reader that is asked answers within the wake-ups of two slow machines.
+inline constexpr auto repair_wait = std::chrono::milliseconds{300};
 /// Wait between cached readings of a configuration that others have already. The platform's cached answers
 /// are usually some hundred milliseconds old.
 inline constexpr auto cached_retry_wait = std::chrono::milliseconds{300};
--- a/libs/director/include/guavaramp/director/upstreams.hpp
+++ b/libs/director/include/guavaramp/director/upstreams.hpp
@@ -47,7 +47,8 @@
 struct known_upstream {
     upstream_report report;
     bool listed{true};
-    mono_time unlisted_at{};  ///< when `listed` became false
+    mono_time unlisted_at{};             ///< when `listed` became false
+    std::uint64_t unlisted_revision{0};  ///< of the removal, or of the first listing without it
 };
 
 /// A complete listing of the platform's entries at one revision.
--- a/libs/director/src/upstreams.cpp
+++ b/libs/director/src/upstreams.cpp
@@ -47,10 +47,12 @@
     known.report = report;
 }
 
-void unlist(known_upstream& known, mono_time now, std::vector<upstream_change>& changes) {
+void unlist(known_upstream& known, std::uint64_t revision, mono_time now,
+            std::vector<upstream_change>& changes) {
     if (known.listed) {
         known.listed = false;
         known.unlisted_at = now;
+        known.unlisted_revision = revision;
         changes.push_back(change_of(upstream_change_kind::unlisted, known.report));
     }
 }
@@ -121,7 +123,7 @@
     }
     for (auto& [id, known] : directory.by_id) {
         if (!present.contains(id)) {
-            unlist(known, now, changes);
+            unlist(known, listing.revision, now, changes);
         }
     }
     forget_unlisted(directory, keep_unlisted_since, changes);
@@ -138,7 +140,7 @@
     for (const auto& removed : news.removed) {
         const auto found = directory.by_id.find(removed.id);
         if (found != directory.by_id.end() && removed.revision > found->second.report.revision) {
-            unlist(found->second, now, changes);
+            unlist(found->second, removed.revision, now, changes);
         }
     }
     forget_unlisted(directory, keep_unlisted_since, changes);
