Spread changes of the listing through some directors of a large failure domain

Change: a reader of more than 12 sends a change to about the square root of their number, and each of these passes it on. Readers with different sockets use different groups.

--- a/apps/director/news_exchange.cpp
+++ b/apps/director/news_exchange.cpp
@@ -71,6 +71,9 @@
     note_report(relay_, sender, message->report, time);
     if (message->delta) {
         hooks_.apply(*message->delta);
+        if (!message->pass_to.empty()) {
+            send_to(message->pass_to, {.report = own_report(), .delta = message->delta});
+        }
     }
     if (!source_.reads) {
         note_difference(question_, sender, message->report, hooks_.listing(), time);
@@ -233,8 +236,11 @@
         send_to(receivers, {.report = report, .readers = readers_to_name()});
         return;
     }
-    for (auto& part : split_delta(*delta)) {
-        send_to(receivers, {.report = report, .delta = std::move(part)});
+    const auto groups = spread_groups(receivers, context_.settings.news);
+    for (const auto& part : split_delta(*delta)) {
+        for (const auto& group : groups) {
+            send_to(std::span{&group.head, 1}, {.report = report, .delta = part, .pass_to = group.others});
+        }
     }
 }
 
--- a/libs/director/include/guavaramp/director/news_relay.hpp
+++ b/libs/director/include/guavaramp/director/news_relay.hpp
@@ -57,6 +57,13 @@
 /// Changes that a reader sends to a director that asks; one that lacks more reads the store.
 inline constexpr std::size_t most_asked_changes = 10 * most_relayed_entries;
 
+/// Directors to which a reader sends changes itself while there are no more. Of a larger failure domain it
+/// sends them to some, and each of these passes them on: a release of hundreds of hosts would otherwise fill
+/// the reader's link for half a second.
+inline constexpr std::size_t most_direct_receivers = 12;
+/// Directors that one director passes a message on to.
+inline constexpr std::size_t most_passed_on = 12;
+
 /// What a director knows of the listing.
 struct listing_state {
     std::uint64_t revision{0};  ///< it knows every change up to here
@@ -91,6 +98,8 @@
     std::optional<roster_member> introduction;
     /// Sockets of readers that the sender hears. With them a director that knows one reader finds the others.
     std::vector<endpoint> readers;
+    /// The receiver passes the changes on to these.
+    std::vector<endpoint> pass_to;
     /// The sender asks for all changes of the listing after this revision.
     std::optional<std::uint64_t> wants_after;
     /// The receiver's messages carry an incarnation below this one, which it had earlier: its clock was set
@@ -115,8 +124,22 @@
 [[nodiscard]] listing_delta delta_between(std::uint64_t after_revision, const upstream_listing& listing,
                                           std::span<const upstream_change> changes);
 
-/// All changes of `directory` after `after_revision`, when it is known up to `revision`; nothing when they are
-/// more than `most_asked_changes`. Not thread-safe.
+/// A director that gets changes from a reader, and those it passes them on to.
+struct spread_group {
+    endpoint head;
+    std::vector<endpoint> others;
+
+    friend bool operator==(const spread_group&, const spread_group&) = default;
+};
+
+/// How a reader spreads changes to `receivers`: about as many groups as each has members. The groups of
+/// readers with different sockets differ, so that a director that is gone as the head of one is not that of
+/// the other for the same members. Thread-safe.
+[[nodiscard]] std::vector<spread_group> spread_groups(std::span<const endpoint> receivers,
+                                                      const endpoint& reader);
+
+/// All changes of `directory` after `after_revision`, when it is known up to `revision`; nothing when they
+/// are more than `most_asked_changes`. Not thread-safe.
 [[nodiscard]] std::optional<listing_delta> delta_since(const upstream_directory& directory,
                                                        std::uint64_t revision, std::uint64_t after_revision);
 
--- a/libs/director/src/news_relay.cpp
+++ b/libs/director/src/news_relay.cpp
@@ -16,7 +16,7 @@
 
 using nlohmann::json;
 
-constexpr std::size_t message_fields = 6;
+constexpr std::size_t message_fields = 7;
 constexpr std::size_t introduction_fields = 5;
 constexpr std::size_t report_fields = 6;
 constexpr std::size_t delta_fields = 4;
@@ -129,6 +129,14 @@
            read_array(value[3], out.news.removed, read_removed);
 }
 
+json to_json(const std::vector<endpoint>& sockets) {
+    json texts = json::array();
+    for (const auto& socket : sockets) {
+        texts.push_back(to_string(socket));
+    }
+    return texts;
+}
+
 json to_json(const roster_member& member) {
     return json::array({to_string(member.peer.address), to_string(member.peer.news),
                         to_string(member.peer.admin), member.peer.failure_domain, member.incarnation});
@@ -168,14 +176,11 @@
 }  // namespace
 
 std::vector<std::uint8_t> encode_relay_message(const relay_message& message) {
-    json readers = json::array();
-    for (const auto& reader : message.readers) {
-        readers.push_back(to_string(reader));
-    }
     return json::to_cbor(
         json::array({to_json(message.report), message.delta ? to_json(*message.delta) : json{},
-                     message.introduction ? to_json(*message.introduction) : json{}, std::move(readers),
-                     message.expected_incarnation, message.wants_after ? json(*message.wants_after) : json{}}));
+                     message.introduction ? to_json(*message.introduction) : json{}, to_json(message.readers),
+                     message.expected_incarnation, message.wants_after ? json(*message.wants_after) : json{},
+                     to_json(message.pass_to)}));
 }
 
 result<relay_message> decode_relay_message(std::span<const std::byte> bytes) {
@@ -184,7 +189,8 @@
     relay_message message;
     if (!value.is_array() || value.size() != message_fields || !read_report(value[0], message.report)) {
         return fail(error_kind::malformed,
-                    "a message is not [report, delta, introduction, readers, incarnation, question]");
+                    "a message is not [report, delta, introduction, readers, incarnation, question, "
+                    "receivers]");
     }
     if (!value[1].is_null() && !read_delta(value[1], message.delta.emplace())) {
         return fail(error_kind::malformed, "a delta is not [after, up to, entries, removed]");
@@ -192,12 +198,13 @@
     if (!value[2].is_null() && !read_introduction(value[2], message.introduction.emplace())) {
         return fail(error_kind::malformed, "an introduction is not [sockets, failure domain, incarnation]");
     }
-    const bool complete = read_array(value[3], message.readers, read_socket) &&
-                          message.readers.size() <= most_named_readers &&
-                          read_number(value[4], message.expected_incarnation) &&
-                          (value[5].is_null() || read_number(value[5], message.wants_after.emplace()));
+    const bool complete =
+        read_array(value[3], message.readers, read_socket) && message.readers.size() <= most_named_readers &&
+        read_number(value[4], message.expected_incarnation) &&
+        (value[5].is_null() || read_number(value[5], message.wants_after.emplace())) &&
+        read_array(value[6], message.pass_to, read_socket) && message.pass_to.size() <= most_passed_on;
     if (!complete) {
-        return fail(error_kind::malformed, "readers, incarnation or question of a message cannot be read");
+        return fail(error_kind::malformed, "the sockets or numbers of a message cannot be read");
     }
     return message;
 }
@@ -255,6 +262,28 @@
     return delta;
 }
 
+std::vector<spread_group> spread_groups(std::span<const endpoint> receivers, const endpoint& reader) {
+    std::vector<endpoint> order{receivers.begin(), receivers.end()};
+    std::vector<spread_group> groups;
+    if (order.size() <= most_direct_receivers) {
+        std::ranges::transform(order, std::back_inserter(groups),
+                               [](const endpoint& receiver) { return spread_group{.head = receiver}; });
+        return groups;
+    }
+    std::ranges::sort(order, {}, [&reader](const endpoint& receiver) {
+        return mix_hashes(rank_of(reader), rank_of(receiver));
+    });
+    const auto side = static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(order.size()))));
+    const auto members = std::min(side, most_passed_on + 1);
+    for (std::size_t begin = 0; begin < order.size(); begin += members) {
+        const auto end = std::min(begin + members, order.size());
+        groups.push_back({.head = order[begin],
+                          .others = {order.begin() + static_cast<std::ptrdiff_t>(begin) + 1,
+                                     order.begin() + static_cast<std::ptrdiff_t>(end)}});
+    }
+    return groups;
+}
+
 std::optional<listing_delta> delta_since(const upstream_directory& directory, std::uint64_t revision,
                                          std::uint64_t after_revision) {
     listing_delta delta{.after_revision = after_revision, .news = {.revision = revision}};
@@ -348,9 +377,9 @@
         return !reads && rank_of(other) < own_rank;
     });
     const bool hears_one = reconsider_at != mono_time::max();
-    const auto takeover_at = std::max({role.listens_until,
-                                       role.short_since + takeover_wait(before_self - missing + 1, store_lost),
-                                       hears_one ? role.one_reader_does_until : mono_time{}});
+    const auto takeover_at =
+        std::max({role.listens_until, role.short_since + takeover_wait(before_self - missing + 1, store_lost),
+                  hears_one ? role.one_reader_does_until : mono_time{}});
     role.reads = role.reads || now >= takeover_at;
     return role.reads ? reconsider_at : std::min(reconsider_at, takeover_at);
 }
--- a/libs/director/tests/news_relay_test.cpp
+++ b/libs/director/tests/news_relay_test.cpp
@@ -62,6 +62,7 @@
             message.readers = directors(static_cast<std::uint8_t>(age % (most_named_readers + 1)));
             message.expected_incarnation = revision;
             message.wants_after = digest;
+            message.pass_to = directors(static_cast<std::uint8_t>(age % (most_passed_on + 1)));
             message.report.store_lost = digest % 2 == 0;
         }
         if (!values.empty()) {
@@ -331,6 +332,48 @@
     CHECK_FALSE(older->listing_differs);
 }
 
+// --- Changes on their way
+// ------------------------------------------------------------------------------------
+
+// Load pattern: a release replaces 40% of 480 hosts while a failure domain has 70 to 133 directors. Guards
+// against a reader that sends more than its machine's link and its own limit let through, after which each
+// director asks the store.
+TEST_CASE("NewsRelayTest.AReaderOfALargeFailureDomainSendsAChangeToFewWhoPassItOn") {
+    for (const std::uint8_t count : {1, 12, 13, 70, 133}) {
+        CAPTURE(count);
+        const auto receivers = directors(count);
+        const auto groups = spread_groups(receivers, director(200));
+        std::vector<endpoint> reached;
+        for (const auto& group : groups) {
+            CHECK(group.others.size() <= most_passed_on);
+            reached.push_back(group.head);
+            reached.insert(reached.end(), group.others.begin(), group.others.end());
+        }
+        CHECK(groups.size() <= most_direct_receivers);
+        std::ranges::sort(reached);
+        CHECK(reached == receivers);
+    }
+}
+
+// Guards against members that get no changes while one director is gone that passes them on.
+TEST_CASE("NewsRelayTest.TwoReadersSpreadChangesThroughDifferentDirectors") {
+    const auto receivers = directors(70);
+    const auto first = spread_groups(receivers, director(200));
+    const auto second = spread_groups(receivers, director(201));
+    const auto head_of = [](const std::vector<spread_group>& groups, const endpoint& member) {
+        for (const auto& group : groups) {
+            if (std::ranges::count(group.others, member) > 0) {
+                return group.head;
+            }
+        }
+        return member;
+    };
+    const auto same = std::ranges::count_if(receivers, [&](const endpoint& member) {
+        return head_of(first, member) == head_of(second, member) && head_of(first, member) != member;
+    });
+    CHECK(same <= 7);
+}
+
 // --- Questions
 // ----------------------------------------------------------------------------------------------
 
