Split changes of one revision over several messages; check listings at readers only

Directors without news that are no readers checked their listing against a store that was down.

Change: parts of one revision but the last promise nothing. Only readers check.

Tests: NewsRelayTest.ManyRemovalsOfOneRevisionFitTheirMessages. In ThePartsOfADeltaFollowOneAnother the assertion that an entry is not newer than its part is replaced: what a part promises has been sent with it or before, and no part has more entries than fit.

--- a/apps/director/store_reader.cpp
+++ b/apps/director/store_reader.cpp
@@ -107,15 +107,20 @@
 }
 
 void store_reader::apply_relayed(const listing_delta& delta) {
-    if (listing_revision_ == 0 || delta.news.revision <= listing_.watched_revision) {
+    if (listing_revision_ == 0) {
         return;
     }
-    if (delta.after_revision > listing_.watched_revision) {
-        relay_gaps_.add();
-        return;
+    switch (fit_of(delta, listing_.watched_revision)) {
+        case delta_fit::known:
+            return;
+        case delta_fit::gap:
+            relay_gaps_.add();
+            return;
+        case delta_fit::applies:
+            break;
     }
     relayed_changes_.add();
-    listing_.watched_revision = delta.news.revision;
+    listing_.watched_revision = std::max(listing_.watched_revision, delta.news.revision);
     listing_revision_ = std::max(listing_revision_, delta.news.revision);
     const auto time = now();
     apply_changes(apply_news(directory_, delta.news, time, time - keep_unlisted), "director");
@@ -188,8 +193,9 @@
     const bool is_configuration = subject == store_subject::configuration;
     next_check_ = is_configuration ? store_subject::listing : store_subject::configuration;
     // Before the first whole reading there is nothing to check, and after a failure one follows anyway.
+    // Nobody relies on a director that is no reader, and the readers' reports check its listing.
     const bool too_early = is_configuration && now() < configuration_check_at_;
-    if (sync_of(sync_, subject).read_whole || too_early || follows()) {
+    if (sync_of(sync_, subject).read_whole || too_early || !source_.reads) {
         check_next();
         return;
     }
--- a/libs/director/include/guavaramp/director/news_relay.hpp
+++ b/libs/director/include/guavaramp/director/news_relay.hpp
@@ -116,9 +116,20 @@
 [[nodiscard]] result<relay_message> decode_relay_message(std::span<const std::byte> bytes);
 
 /// Splits `delta` into parts that each fit a message and that follow one another without a gap. Changes of
-/// one revision stay together, so a part may hold more than `most_relayed_entries`. Thread-safe.
+/// one revision may need several parts: all but the last of these promise nothing, their revision is that
+/// which they follow. Thread-safe.
 [[nodiscard]] std::vector<listing_delta> split_delta(const listing_delta& delta);
 
+/// What a delta is to a director that knows every change up to `known`.
+enum class delta_fit : std::uint8_t {
+    applies,
+    known,  ///< brings nothing new
+    gap     ///< something before it is missing
+};
+
+/// See `delta_fit`. Thread-safe.
+[[nodiscard]] delta_fit fit_of(const listing_delta& delta, std::uint64_t known) noexcept;
+
 /// The delta that leads from a listing known up to `after_revision` to `listing`, when applying it made
 /// `changes`. Thread-safe.
 [[nodiscard]] listing_delta delta_between(std::uint64_t after_revision, const upstream_listing& listing,
--- a/libs/director/src/news_relay.cpp
+++ b/libs/director/src/news_relay.cpp
@@ -228,9 +228,10 @@
     for (const auto& next : changes) {
         const auto& news = parts.back().news;
         const bool full = news.reports.size() + news.removed.size() >= most_relayed_entries;
-        if (full && next.revision > last_revision) {
-            parts.back().news.revision = last_revision;
-            parts.push_back({.after_revision = last_revision, .news = {}});
+        if (full) {
+            auto& part = parts.back();
+            part.news.revision = next.revision > last_revision ? last_revision : part.after_revision;
+            parts.push_back({.after_revision = part.news.revision, .news = {}});
         }
         if (next.report != nullptr) {
             parts.back().news.reports.push_back(*next.report);
@@ -243,6 +244,15 @@
     return parts;
 }
 
+delta_fit fit_of(const listing_delta& delta, std::uint64_t known) noexcept {
+    if (delta.after_revision > known) {
+        return delta_fit::gap;
+    }
+    const bool promises = delta.news.revision > delta.after_revision;
+    const auto newest = promises ? delta.news.revision : delta.after_revision + 1;
+    return newest > known ? delta_fit::applies : delta_fit::known;
+}
+
 listing_delta delta_between(std::uint64_t after_revision, const upstream_listing& listing,
                             std::span<const upstream_change> changes) {
     std::set<std::string_view> changed;
