Weigh a new flow against a share of the upstreams that differs between directors

Cause: each director looked for the upstream with the least of its own work among all of a service, twice for each new flow, and broke ties by a hash; 60 directors that each see a sixtieth of the flows then place almost at random, and one flow a host is too little to learn answer times.

Change: a new flow is weighed against 24 upstreams of the own failure domain, from this director's place in the list on, and 4 of all; the places of a failure domain's directors are spread evenly. When all of these should be avoided, all are weighed.

Refusals beside room at 80% load remain: slow hosts are known too late.

--- a/apps/director/packet_duty.cpp
+++ b/apps/director/packet_duty.cpp
@@ -61,7 +61,8 @@
         : context_(context),
           socket_(std::move(socket)),
           peers_(std::move(peers)),
-          state_{.seed = hash_text(context.settings.vm)},
+          state_{.seed = hash_text(context.settings.vm),
+                 .share = share_without_roster(hash_text(context.settings.vm))},
           thread_([this] { run(); }) {}
     running_packet_duty(const running_packet_duty&) = delete;
     running_packet_duty& operator=(const running_packet_duty&) = delete;
@@ -110,6 +111,10 @@
             neighbour_ = *context_.neighbour.get();
             changed = true;
         }
+        if (const auto version = context_.roster.version(); version != roster_version_) {
+            roster_version_ = version;
+            state_.share = share_among(context_.settings.peers, context_.roster.get()->peers);
+        }
         if (changed && !held_.packets.empty()) {
             handle_held();
         }
@@ -354,6 +359,7 @@
     std::uint64_t view_version_{0};
     std::optional<endpoint> neighbour_;
     std::uint64_t neighbour_version_{0};
+    std::uint64_t roster_version_{0};
     mono_time housekeeping_at_{};
     std::vector<pollfd> polled_;
     std::array<std::byte, max_datagram_size> delivery_{};
--- a/libs/director/include/guavaramp/director/choice.hpp
+++ b/libs/director/include/guavaramp/director/choice.hpp
@@ -20,11 +20,18 @@
 inline constexpr double warming_up_cost = 1.6;
 /// Cost of an upstream that should be avoided: it is taken only when all others are avoided too.
 inline constexpr double avoided_cost = 1000.0;
+/// Upstreams that a new flow is weighed against: of the own failure domain, and of all. The time that a new
+/// flow takes does not grow with the hosts of a service, and a director has evidence of the answer times of
+/// these few sooner than of all. They are this director's share of the list; as many others of its failure
+/// domain weigh each of them as any other. Load pattern: 60 directors at 80% of what 96 hosts of unequal
+/// speed can do.
+inline constexpr std::size_t most_candidates = 24;
+inline constexpr std::size_t most_other_candidates = 4;
 
 /// The upstream of `service` that a new flow goes to, or null when none takes new flows: the one with the
-/// least work of this director for its slots, weighted with the costs above; ties go by a hash of flow
-/// and upstream, so that directors do not all start with the same one. `except` is chosen only when there is
-/// no other. Not thread-safe.
+/// least work of this director for its slots, weighted with the costs above; of equal ones that which comes
+/// first in this director's share of the list. When all of the share should be avoided, all upstreams are
+/// weighed. `except` is chosen only when there is no other. Not thread-safe.
 [[nodiscard]] const known_upstream* choose_upstream(const director_state& state, const fleet_view& view,
                                                     const std::string& service, std::uint64_t flow_hash,
                                                     steering_tag except, mono_time now);
--- a/libs/director/include/guavaramp/director/director.hpp
+++ b/libs/director/include/guavaramp/director/director.hpp
@@ -97,10 +97,26 @@
     mono_time due_at{};
 };
 
+/// This director's place among those of its failure domain. Each weighs another part of the list of
+/// upstreams, so that they do not choose the same idle ones.
+struct director_share {
+    std::size_t index{0};
+    std::size_t count{1};
+
+    friend bool operator==(const director_share&, const director_share&) = default;
+};
+
+/// The share of the director at `self` among `peers`, the others; the same order everywhere. Thread-safe.
+[[nodiscard]] director_share share_among(const endpoint& self, std::span<const director_peer> peers) noexcept;
+
+/// The share of a director that does not know the others: somewhere, by its seed. Thread-safe.
+[[nodiscard]] director_share share_without_roster(std::uint64_t seed) noexcept;
+
 /// Everything that a director remembers between packets. Not thread-safe: one thread owns it.
 struct director_state {
     /// Differs between directors, so that not all do the same at the same time.
     std::uint64_t seed{0};
+    director_share share;
     flow_cache flows;
     std::unordered_map<std::uint32_t, host_health> health;  ///< by tag
     /// When a tag that no listing explains was first seen.
--- a/libs/director/include/guavaramp/director/upstreams.hpp
+++ b/libs/director/include/guavaramp/director/upstreams.hpp
@@ -123,11 +123,18 @@
 /// have the same listing. Not thread-safe.
 [[nodiscard]] std::uint64_t digest_of(const upstream_directory& directory) noexcept;
 
+/// The upstreams of a service that take new flows, as positions in `upstream_index::upstreams`, in an order
+/// that is the same at all directors with the same listing.
+struct ready_upstreams {
+    std::vector<std::size_t> all;
+    std::unordered_map<std::string, std::vector<std::size_t>> by_failure_domain;
+};
+
 /// An immutable copy of the directory for the packet path. Any thread may read it.
 struct upstream_index {
     std::vector<known_upstream> upstreams;
     std::unordered_map<std::uint32_t, std::size_t> by_tag;  ///< tag to position in `upstreams`
-    std::unordered_map<std::string, std::vector<std::size_t>> ready_by_service;
+    std::unordered_map<std::string, ready_upstreams> ready_by_service;
 };
 
 /// Builds the index. When two upstreams have the same tag, it belongs to the one that was created first, and
--- a/libs/director/src/director.cpp
+++ b/libs/director/src/director.cpp
@@ -271,6 +271,17 @@
     return packet.opens ? place(state, view, *matched, packet, now) : steer(state, view, packet, now);
 }
 
+director_share share_among(const endpoint& self, std::span<const director_peer> peers) noexcept {
+    const auto before =
+        std::ranges::count_if(peers, [&self](const director_peer& peer) { return peer.address < self; });
+    return {.index = static_cast<std::size_t>(before), .count = peers.size() + 1};
+}
+
+director_share share_without_roster(std::uint64_t seed) noexcept {
+    constexpr std::size_t places = 1024;
+    return {.index = seed % places, .count = places};
+}
+
 host_health& health_of(director_state& state, steering_tag tag) {
     return state.health[static_cast<std::uint32_t>(tag)];
 }
--- a/libs/director/src/upstreams.cpp
+++ b/libs/director/src/upstreams.cpp
@@ -189,7 +189,9 @@
         const auto tag = static_cast<std::uint32_t>(tag_of(known.report.delivery_id));
         const bool owns_tag = index.by_tag.emplace(tag, position).second;
         if (owns_tag && known.listed && known.report.phase == upstream_phase::ready) {
-            index.ready_by_service[known.report.service].push_back(position);
+            auto& ready = index.ready_by_service[known.report.service];
+            ready.all.push_back(position);
+            ready.by_failure_domain[known.report.failure_domain].push_back(position);
         }
     }
     return index;
--- a/libs/director/tests/choice_test.cpp
+++ b/libs/director/tests/choice_test.cpp
@@ -16,7 +16,8 @@
 
 TEST_CASE("ChoiceTest.NoUpstreamOfTheServiceIsReady") {
     const auto view = make_view(make_directory({make_report({.phase = upstream_phase::draining})}));
-    CHECK(choose(director_state{}, view) == nullptr);
+    director_state state;
+    CHECK(choose(state, view) == nullptr);
 }
 
 TEST_CASE("ChoiceTest.NewFlowsSpreadEvenlyOverEqualUpstreams") {
@@ -54,7 +55,8 @@
 
 TEST_CASE("ChoiceTest.AFailureDomainWithoutItsOwnUpstreamsUsesOthers") {
     const auto view = make_view(make_directory({make_report({.failure_domain = "azogues"})}));
-    REQUIRE(choose(director_state{}, view) != nullptr);
+    director_state state;
+    REQUIRE(choose(state, view) != nullptr);
 }
 
 TEST_CASE("ChoiceTest.CallersThatWaitWeighMoreThanIdleFlows") {
@@ -90,7 +92,7 @@
 }
 
 TEST_CASE("ChoiceTest.TheExceptedUpstreamIsTakenOnlyWhenItIsTheOnlyOne") {
-    const director_state state;
+    director_state state;
     const auto two = make_view(make_directory(make_reports(2)));
     for (std::uint64_t hash = 0; hash < 100; ++hash) {
         CHECK(choose(state, two, hash, tag_of(1))->report.id == "i-2");
--- a/libs/director/tests/upstreams_test.cpp
+++ b/libs/director/tests/upstreams_test.cpp
@@ -104,7 +104,7 @@
     const auto index = make_upstream_index(make_directory({second, first}));
     REQUIRE(find_by_tag(index, tag_of(long_id)) != nullptr);
     CHECK(find_by_tag(index, tag_of(long_id))->report.id == "i-b");
-    CHECK(index.ready_by_service.at("workshop").size() == 1);
+    CHECK(index.ready_by_service.at("workshop").all.size() == 1);
 }
 
 TEST_CASE("UpstreamsTest.AnUnlistedUpstreamIsForgottenAfterItsTime") {
