Read the first listing before the first configuration, and log it in one line

Change: the first configuration waits for the first listing; one line "listing_read" in place of 600.

What binds in a start of all is the store's link: 350 listings of about 210 KB over 1,000 Mbit/s are 0.6 s.

--- a/apps/director/store_reader.cpp
+++ b/apps/director/store_reader.cpp
@@ -39,6 +39,18 @@
     return changed;
 }
 
+void log_changes(const std::vector<upstream_change>& changes, std::string_view source) {
+    for (const auto& change : changes) {
+        log_event(log_level::info, "upstream_changed",
+                  {{"upstream", change.id},
+                   {"change", std::string{to_string(change.kind)}},
+                   {"phase", std::string{to_string(change.phase)}},
+                   {"service", change.service},
+                   {"revision", std::to_string(change.revision)},
+                   {"source", std::string{source}}});
+    }
+}
+
 std::size_t count_unreadable(const upstream_directory& directory) {
     return static_cast<std::size_t>(
         std::count_if(directory.by_id.begin(), directory.by_id.end(), [](const auto& item) {
@@ -258,14 +270,6 @@
 
 void store_reader::read_due() {
     due_reading due{};
-    if (start_if_due(sync_, store_subject::configuration, now(), due)) {
-        configuration_.started = now();
-        if (due.kind == reading_kind::watch) {
-            watch(due, operator_prefix, &store_reader::configuration_watched);
-        } else {
-            read_configuration(due.kind);
-        }
-    }
     if (start_if_due(sync_, store_subject::listing, now(), due)) {
         listing_.started = now();
         if (due.kind == reading_kind::watch || due.kind == reading_kind::catch_up) {
@@ -276,6 +280,14 @@
             read_page("");
         }
     }
+    if (start_if_due(sync_, store_subject::configuration, now(), due)) {
+        configuration_.started = now();
+        if (due.kind == reading_kind::watch) {
+            watch(due, operator_prefix, &store_reader::configuration_watched);
+        } else {
+            read_configuration(due.kind);
+        }
+    }
     const auto next = next_reading_at(sync_);
     if (next == mono_time::max()) {
         return;
@@ -449,14 +461,12 @@
 }
 
 void store_reader::apply_changes(const std::vector<upstream_change>& changes, std::string_view source) {
-    for (const auto& change : changes) {
-        log_event(log_level::info, "upstream_changed",
-                  {{"upstream", change.id},
-                   {"change", std::string{to_string(change.kind)}},
-                   {"phase", std::string{to_string(change.phase)}},
-                   {"service", change.service},
-                   {"revision", std::to_string(change.revision)},
-                   {"source", std::string{source}}});
+    if (view_.upstreams == nullptr) {
+        // Hundreds of lines about hosts that have long been there would hold a starting director up.
+        log_event(log_level::info, "listing_read",
+                  {{"upstreams", std::to_string(directory_.by_id.size())}, {"source", std::string{source}}});
+    } else {
+        log_changes(changes, source);
     }
     listing_digest_ = digest_of(directory_);
     unreadable_entries_.set(count_unreadable(directory_));
--- a/libs/director/src/store_sync.cpp
+++ b/libs/director/src/store_sync.cpp
@@ -27,8 +27,21 @@
     return sync.is_reader && subject == store_subject::listing && !verified;
 }
 
+/// Whether the first configuration waits for the first listing. With the listing, open flows go on; together,
+/// both take as long as the larger one when the whole fleet starts and the store's link is the narrowest
+/// place.
+bool waits_for_listing(const store_sync& sync, store_subject subject) noexcept {
+    const auto& listing = sync_of(sync, store_subject::listing);
+    const bool first = !sync_of(sync, subject).known && !sync_of(sync, subject).absent;
+    return !sync.is_reader && subject == store_subject::configuration && first && listing.reading &&
+           !listing.known && listing.failures == 0;
+}
+
 mono_time due_at(const store_sync& sync, store_subject subject) noexcept {
     const auto& state = sync_of(sync, subject);
+    if (waits_for_listing(sync, subject)) {
+        return mono_time::max();
+    }
     if (!is_covered(sync, state) || state.wanted) {
         return state.next_at;
     }
--- a/libs/director/tests/store_sync_test.cpp
+++ b/libs/director/tests/store_sync_test.cpp
@@ -248,6 +248,21 @@
     CHECK_FALSE(start_if_due(sync, store_subject::listing, at_ms(2999), due));
 }
 
+// Load pattern: the whole fleet starts with a configuration of 1,300 routes in force. Guards against open
+// flows that wait for it although only the listing is needed to forward them.
+TEST_CASE("StoreSyncTest.TheFirstListingIsReadBeforeTheFirstConfiguration") {
+    auto sync = starting_sync();
+    const auto listing = start(sync, store_subject::listing, 0);
+    due_reading due{};
+    CHECK_FALSE(start_if_due(sync, store_subject::configuration, at_ms(1), due));
+    auto failing = sync;
+    note_read(sync, listing, at_ms(0), at_ms(150));
+    CHECK(start_if_due(sync, store_subject::configuration, at_ms(150), due));
+    // A listing that cannot be read does not keep the configuration back for ever.
+    (void)note_read_failure(failing, store_subject::listing, false, at_ms(700));
+    CHECK(start_if_due(failing, store_subject::configuration, at_ms(700), due));
+}
+
 // Guards against a reader that passes on what a cached answer left out.
 TEST_CASE("StoreSyncTest.AReaderReadsTheNewestListingUnlessReadersHaveConfirmedItsOwn") {
     auto sync = starting_sync();
