Trust nothing from before a suspension; look for a new key when messages do not fit; survive errors

- A machine that is suspended does not count that time on its steady clock, so trust in routes, verdicts on hosts and coverage by readers looked fresh when it woke.
- A director that starts from a cached answer may have a key that was withdrawn.
A message that does not fit the key leads to one reading of the newest state, at most each 5 s (RegistrationTest).
- An error that no handler expects ended the process.
It now costs the handler or the round of packets, with a log line and a counter; periodic work is scheduled again before it is done.

--- a/apps/director/control_duty.cpp
+++ b/apps/director/control_duty.cpp
@@ -5,6 +5,7 @@
 #include "roster_keeper.hpp"
 #include "store_reader.hpp"
 
+#include <guavaramp/base/suspension.hpp>
 #include <guavaramp/base/token_bucket.hpp>
 #include <guavaramp/director/age.hpp>
 #include <guavaramp/net/attached_http_server.hpp>
@@ -49,7 +50,8 @@
                      },
                  .self = [this] { return roster_.self(); },
                  .introduced = [this](const roster_member& member) { roster_.add_member(member); },
-                 .outdated = [this](std::uint64_t expected) { roster_.raise_incarnation(expected); }}),
+                 .outdated = [this](std::uint64_t expected) { roster_.raise_incarnation(expected); },
+                 .key_doubted = [this] { roster_.doubt_key(); }}),
           neighbours_(io_, context, [this] { return is_ready(); }),
           tick_(io_) {}
     running_control_duty(const running_control_duty&) = delete;
@@ -86,10 +88,25 @@
         news_.start();
         neighbours_.start();
         tick();
-        io_.run();
+        run_handlers();
         write_decisions();
     }
 
+    /// An error that no handler expects must not end the process: the others' work goes on. Periodic work is
+    /// scheduled again before it is done, so that it goes on too.
+    void run_handlers() {
+        while (true) {
+            try {
+                io_.run();
+                return;
+            } catch (const std::exception& failure) {
+                unexpected_errors_.add();
+                log_event(log_level::error, "unexpected_error",
+                          {{"thread", "control"}, {"message", failure.what()}});
+            }
+        }
+    }
+
     void add_routes() {
         router_.add("GET", "/v1/ready", [this](const http_request&, const http_responder& respond) {
             respond(is_ready() ? http_response{.body = R"({"status":"ready"})"} : not_ready());
@@ -131,16 +148,28 @@
             io_.stop();
             return;
         }
-        if (context_.wants_listing.exchange(false)) {
-            reader_.reread_listing();
-        }
-        write_decisions();
         tick_.expires_after(tick_period);
         tick_.async_wait([this](const std::error_code& failure) {
             if (!failure) {
                 tick();
             }
         });
+        if (context_.wants_listing.exchange(false)) {
+            reader_.reread_listing();
+        }
+        notice_suspension();
+        write_decisions();
+    }
+
+    void notice_suspension() {
+        const auto suspended = suspended_time();
+        if (was_suspended(suspended_, suspended)) {
+            log_event(log_level::warning, "machine_was_suspended",
+                      {{"for_ms", std::to_string((suspended - suspended_).count())}});
+            reader_.note_suspension(suspended);
+            news_.forget_reports();
+        }
+        suspended_ = suspended;
     }
 
     void write_decisions() {
@@ -186,11 +215,14 @@
     news_exchange news_;
     neighbour_finder neighbours_;
     asio::steady_timer tick_;
+    std::chrono::milliseconds suspended_{suspended_time()};
     http_router router_;
     std::vector<std::unique_ptr<http_server>> servers_;
     token_bucket line_budget_{make_token_bucket(decision_lines_per_second, decision_lines_burst, now())};
     counter& lines_suppressed_{
         context_.counters.get("log_lines_suppressed_total", "Decisions above the log's rate limit")};
+    counter& unexpected_errors_{
+        context_.counters.get("unexpected_errors_total", "Errors that no handler expected", "control")};
     std::thread thread_;
 };
 
--- a/apps/director/news_exchange.cpp
+++ b/apps/director/news_exchange.cpp
@@ -53,11 +53,14 @@
         if (failure) {
             return;
         }
+        wait_for_messages();
         socket_.receive(
             [this](const endpoint& sender, std::span<const std::byte> payload) { handle(sender, payload); },
             [this](const endpoint& sender, std::uint64_t expected) { refuse(sender, expected); });
+        if (socket_.take_key_doubt()) {
+            hooks_.key_doubted();
+        }
         wait_until(update_source());
-        wait_for_messages();
     });
 }
 
@@ -133,6 +136,11 @@
     send_to(std::span{&sender, 1}, {.report = own_report(), .expected_incarnation = expected_incarnation});
 }
 
+void news_exchange::forget_reports() {
+    relay_.readers.clear();
+    wake();
+}
+
 void news_exchange::wake() {
     const auto time = now();
     greet_due();
--- a/apps/director/news_exchange.hpp
+++ b/apps/director/news_exchange.hpp
@@ -34,6 +34,8 @@
     std::function<void(const roster_member&)> introduced;
     /// Others have seen a later incarnation of this director.
     std::function<void(std::uint64_t)> outdated;
+    /// A message has come that the key does not fit.
+    std::function<void()> key_doubted;
 };
 
 /// Passes news of the store on to the directors of the own failure domain, and takes theirs. To be used on
@@ -52,6 +54,9 @@
     /// Tells the others what has changed, if this director is a reader.
     void announce(const std::optional<listing_delta>& delta);
 
+    /// The machine has been suspended: reports that were heard before no longer stand.
+    void forget_reports();
+
 private:
     void wait_for_messages();
     void handle(const endpoint& sender, std::span<const std::byte> payload);
--- a/apps/director/packet_duty.cpp
+++ b/apps/director/packet_duty.cpp
@@ -4,10 +4,12 @@
 #include "request_id.hpp"
 
 #include <guavaramp/base/hash.hpp>
+#include <guavaramp/base/suspension.hpp>
 #include <guavaramp/director/held_packets.hpp>
 #include <guavaramp/net/tcp_probe.hpp>
 #include <guavaramp/net/udp_socket.hpp>
 #include <guavaramp/platform_adapter/packet_codec.hpp>
+#include <guavaramp/telemetry/log.hpp>
 #include <guavaramp/telemetry/thread_name.hpp>
 
 #include <poll.h>
@@ -73,19 +75,31 @@
         name_thread("packets");
         while (!context_.stopped) {
             wait();
-            refresh_view();
-            end_probes();
-            for (auto batch = socket_.receive(); !batch.empty(); batch = socket_.receive()) {
-                handle_batch(batch);
-            }
-            receive_notes();
-            do_due_work();
-            if (now() >= housekeeping_at_) {
-                keep_house();
+            // An error that no step expects costs the packets of one round and not the process.
+            try {
+                do_round();
+            } catch (const std::exception& failure) {
+                unexpected_errors_.add();
+                log_event(log_level::error, "unexpected_error",
+                          {{"thread", "packets"}, {"message", failure.what()}});
             }
         }
     }
 
+    void do_round() {
+        notice_suspension();
+        refresh_view();
+        end_probes();
+        for (auto batch = socket_.receive(); !batch.empty(); batch = socket_.receive()) {
+            handle_batch(batch);
+        }
+        receive_notes();
+        do_due_work();
+        if (now() >= housekeeping_at_) {
+            keep_house();
+        }
+    }
+
     void wait() {
         const auto started = now();
         const auto longest = held_.packets.empty() ? longest_wait : held_look_period;
@@ -98,12 +112,27 @@
         poll(polled_.data(), polled_.size(), static_cast<int>(std::max<std::int64_t>(wait_ms, 0)));
     }
 
+    /// The steady clock stands still while the machine is suspended, so what was believed before still looks
+    /// fresh.
+    void notice_suspension() {
+        const auto suspended = suspended_time();
+        if (was_suspended(suspended_, suspended)) {
+            note_suspension(state_, now());
+            view_version_ = 0;  // looks at the published view again, which may be from before
+            suspensions_.add();
+        }
+        suspended_ = suspended;
+    }
+
     /// Takes over what the control thread has published. Waiting packets are looked at again then.
     void refresh_view() {
         bool changed = false;
         if (const auto version = context_.view.version(); version != view_version_) {
             view_version_ = version;
             view_ = context_.view.get();
+            if (view_ != nullptr && was_suspended(view_->suspended, suspended_)) {
+                view_ = std::make_shared<const fleet_view>(without_trust(*view_));
+            }
             changed = true;
         }
         if (const auto version = context_.neighbour.version(); version != neighbour_version_) {
@@ -360,6 +389,11 @@
     std::optional<endpoint> neighbour_;
     std::uint64_t neighbour_version_{0};
     std::uint64_t roster_version_{0};
+    std::chrono::milliseconds suspended_{suspended_time()};
+    counter& unexpected_errors_{
+        context_.counters.get("unexpected_errors_total", "Errors that no handler expected", "packets")};
+    counter& suspensions_{
+        context_.counters.get("suspensions_total", "Times that this machine was suspended")};
     mono_time housekeeping_at_{};
     std::vector<pollfd> polled_;
     std::array<std::byte, max_datagram_size> delivery_{};
--- a/apps/director/peer_socket.cpp
+++ b/apps/director/peer_socket.cpp
@@ -66,6 +66,7 @@
             const auto payload =
                 open_datagram(roster_->keys, replays_, received.source, options_.local, received.bytes);
             if (!payload) {
+                key_doubted_ = key_doubted_ || payload.error().kind == error_kind::unauthenticated;
                 count_refused(payload.error().kind);
                 const auto latest = replays_.incarnation_of(received.source.address);
                 const bool outdated =
--- a/apps/director/peer_socket.hpp
+++ b/apps/director/peer_socket.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <utility>
 
 namespace guavaramp {
 
@@ -49,6 +50,9 @@
     /// Handles what has arrived.
     void receive(const handler& handle, const outdated_handler& handle_outdated = {});
 
+    /// Whether a message has come since the last call that the key does not fit.
+    [[nodiscard]] bool take_key_doubt() noexcept { return std::exchange(key_doubted_, false); }
+
     /// Counts a message that is authentic and cannot be used, or not authentic.
     void count_refused(error_kind kind);
 
@@ -61,6 +65,7 @@
     std::shared_ptr<const fleet_roster> roster_;
     std::uint64_t roster_version_{0};
     std::uint64_t sequence_{0};
+    bool key_doubted_{false};
     replay_guard replays_;
     token_bucket budget_;
     counter& sent_;
--- a/apps/director/roster_keeper.cpp
+++ b/apps/director/roster_keeper.cpp
@@ -76,6 +76,11 @@
     }
 }
 
+void roster_keeper::doubt_key() {
+    note_key_doubted(state_, now());
+    schedule();
+}
+
 std::vector<roster_member> roster_keeper::members() const {
     // To all but readers the members introduce themselves only once, so that those of the last reading stand
     // until there is another one.
--- a/apps/director/roster_keeper.hpp
+++ b/apps/director/roster_keeper.hpp
@@ -37,6 +37,9 @@
     /// Others have seen a later incarnation of this director than its own.
     void raise_incarnation(std::uint64_t expected);
 
+    /// A message of another director does not fit the key.
+    void doubt_key();
+
 private:
     void take_step();
     void schedule();
--- a/apps/director/store_reader.cpp
+++ b/apps/director/store_reader.cpp
@@ -2,6 +2,7 @@
 
 #include "store_answer.hpp"
 
+#include <guavaramp/base/suspension.hpp>
 #include <guavaramp/director/age.hpp>
 #include <guavaramp/platform_adapter/platform_entries.hpp>
 #include <guavaramp/telemetry/log.hpp>
@@ -88,6 +89,7 @@
       configuration_version_(
           context.counters.get("configuration_version", "Version in force", "", counter_kind::gauge)) {
     view_.own_failure_domain = context.settings.failure_domain;
+    view_.suspended = suspended_time();
     note_reader(sync_, false, now());
 }
 
@@ -168,6 +170,18 @@
     }
 }
 
+void store_reader::note_suspension(std::chrono::milliseconds suspended) {
+    view_.suspended = suspended;
+    view_.listing_as_of = mono_time{};
+    source_.coverage.reset();
+    routes_read_until_ = mono_time{};
+    listing_verified_at_ = mono_time{};
+    if (sync_.steady_since != mono_time::max()) {
+        sync_.steady_since = now();
+    }
+    publish();
+}
+
 void store_reader::give_up_watch(store_subject subject) {
     if (is_needless_watch(sync_, subject)) {
         (subject == store_subject::configuration ? configuration_ : listing_).session.cancel();
--- a/apps/director/store_reader.hpp
+++ b/apps/director/store_reader.hpp
@@ -33,8 +33,8 @@
     /// What this director knows of the listing.
     [[nodiscard]] listing_state listing() const noexcept;
 
-    /// All changes of the listing after `revision`, for a director that lacks them; nothing while this one is not
-    /// sure of its own listing, or when they are too many.
+    /// All changes of the listing after `revision`, for a director that lacks them; nothing while this one is
+    /// not sure of its own listing, or when they are too many.
     [[nodiscard]] std::optional<listing_delta> changes_after(std::uint64_t revision) const;
 
     /// Applies what another director has read, unless something before it is missing here.
@@ -43,6 +43,10 @@
     /// Reads the store itself or relies on others, as `source` says.
     void follow(const news_source& source);
 
+    /// The machine has been suspended for `suspended` in all: what was read or heard before proves nothing
+    /// now.
+    void note_suspension(std::chrono::milliseconds suspended);
+
     /// Reads the listing in whole again: a packet names an upstream that is not known.
     void reread_listing();
 
@@ -94,7 +98,7 @@
     mono_time configuration_check_at_{};  ///< not before; large ones are checked less often
     store_sync sync_;
     upstream_directory directory_;
-    upstream_listing pages_;  ///< of the whole reading in progress
+    upstream_listing pages_;    ///< of the whole reading in progress
     bool pages_cached_{false};  ///< and whether its answers may be older
     fleet_view view_;
     std::function<void(const std::optional<listing_delta>&)> announce_;
--- a/libs/director/include/guavaramp/director/director.hpp
+++ b/libs/director/include/guavaramp/director/director.hpp
@@ -7,6 +7,7 @@
 #include <guavaramp/director/routes.hpp>
 #include <guavaramp/director/upstreams.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -32,8 +33,14 @@
     mono_time routes_trusted_until{};
     /// Since when the store has answered without a failure; the maximum while it does not.
     mono_time steady_since{mono_time::max()};
+    /// `suspended_time` when the times above were set.
+    std::chrono::milliseconds suspended{};
 };
 
+/// `view` for a machine that has been suspended since it was made: routes and hosts as far as they are known,
+/// and nothing that permits a reset. Thread-safe.
+[[nodiscard]] fleet_view without_trust(fleet_view view);
+
 enum class verdict : std::uint8_t { forward, reset, drop };
 
 /// Why a packet got its verdict. Each value is a counter's label and the `reason` of a log line.
@@ -201,6 +208,10 @@
 [[nodiscard]] std::vector<steering_tag> due_probes(const director_state& state, const fleet_view& view,
                                                    mono_time now);
 
+/// The machine has been suspended: verdicts on hosts that were in force before are not any longer, and
+/// waiting times say nothing. Not thread-safe.
+void note_suspension(director_state& state, mono_time now);
+
 /// Forgets idle flows, and health and tags that no longer matter. To be called about once a second. Not
 /// thread-safe.
 void forget_old(director_state& state, const fleet_view& view, mono_time now);
--- a/libs/director/include/guavaramp/director/registration.hpp
+++ b/libs/director/include/guavaramp/director/registration.hpp
@@ -24,6 +24,9 @@
 /// Least time between two writes of the same entry: hundreds of directors that start make a few of them.
 inline constexpr auto entry_write_period = std::chrono::milliseconds{2000};
 
+/// Least time between two readings that messages ask for which the fleet's key does not fit.
+inline constexpr auto least_key_check_period = std::chrono::milliseconds{5000};
+
 /// What to do next.
 enum class registration_step : std::uint8_t {
     read_fleet,   ///< read the fleet's key and the readers' entries
@@ -41,6 +44,7 @@
     mono_time claims_at{mono_time::max()};
     mono_time reader_since{mono_time::max()};  ///< the maximum: it is none
     mono_time entry_written_at{};
+    mono_time key_checked_at{};          ///< when a message last made it look for a new key
     std::uint64_t written_members{0};    ///< digest of the members in the own entry
     std::uint64_t lease{0};              ///< 0: none
     std::uint32_t reads_without_own{0};  ///< in a row, long enough after the entry was written
@@ -93,6 +97,10 @@
 /// Another director has written the fleet's key first: reads it. Not thread-safe.
 void note_key_conflict(registration& state, mono_time now) noexcept;
 
+/// A message of another director does not fit the key: there may be a new one, and the cached answer that
+/// brought this one may have been old. Not thread-safe.
+void note_key_doubted(registration& state, mono_time now) noexcept;
+
 /// The store says that the lease has ended: begins anew. Not thread-safe.
 void note_registration_lost(registration& state, mono_time now) noexcept;
 
--- a/libs/director/src/director.cpp
+++ b/libs/director/src/director.cpp
@@ -286,6 +286,25 @@
     return state.health[static_cast<std::uint32_t>(tag)];
 }
 
+fleet_view without_trust(fleet_view view) {
+    view.routes_trusted_until = mono_time{};
+    view.steady_since = mono_time::max();
+    view.listing_as_of = mono_time{};
+    return view;
+}
+
+void note_suspension(director_state& state, mono_time now) {
+    for (auto& [tag, health] : state.health) {
+        health.unreachable_until = now;
+        health.overdue_requests = 0;
+        health.refused_at = mono_time{};
+    }
+    state.answers.clear();
+    state.overdue.clear();
+    state.stall_checks.clear();
+    state.unexplained_tags.clear();
+}
+
 void forget_old(director_state& state, const fleet_view& view, mono_time now) {
     const bool configured = view.routes != nullptr && view.routes->idle_timeout_ms > 0;
     const auto idle_timeout =
--- a/libs/director/src/registration.cpp
+++ b/libs/director/src/registration.cpp
@@ -103,6 +103,14 @@
     state.read_at = now;
 }
 
+void note_key_doubted(registration& state, mono_time now) noexcept {
+    if (state.was_read && now >= state.key_checked_at + least_key_check_period) {
+        state.key_checked_at = now;
+        state.needs_newest = true;
+        state.read_at = std::min(state.read_at, now);
+    }
+}
+
 void note_registration_lost(registration& state, mono_time now) noexcept {
     state.lease = 0;
     state.has_entry = false;
--- a/libs/director/tests/registration_test.cpp
+++ b/libs/director/tests/registration_test.cpp
@@ -160,6 +160,22 @@
     CHECK(state.key_missing);
 }
 
+// Guards against a director that starts from a cached answer with a key that was withdrawn, and stays with
+// it; and against forged messages that make it press the store.
+TEST_CASE("RegistrationTest.AMessageThatDoesNotFitTheKeyLeadsToOneReadingOfTheNewestState") {
+    registration state;
+    note_key_doubted(state, at_ms(0));
+    CHECK_FALSE(state.needs_newest);
+    note_fleet_read(state, normal_reading(), claim, at_ms(4));
+    note_key_doubted(state, at_ms(6000));
+    CHECK(next_step(state, members) == due_step{.step = registration_step::read_fleet, .at = at_ms(6000)});
+    CHECK(state.needs_newest);
+    note_fleet_read(state, normal_reading(), claim, at_ms(6004));
+    note_key_doubted(state, at_ms(6010));
+    CHECK_FALSE(state.needs_newest);
+    CHECK(next_step(state, members).at > at_ms(10'000));
+}
+
 TEST_CASE("RegistrationTest.AFailedStepIsRepeatedAfterAWait") {
     auto state = registered(0);
     note_registration_failure(state, at_ms(30'000));
