--- a/libs/director/tests/fleet_start_test.cpp
+++ b/libs/director/tests/fleet_start_test.cpp
@@ -15,8 +15,8 @@
 struct fleet_start_options {
     std::size_t directors{300};
     double bytes{300'000};
-    double store_bytes_per_ms{125'000};    ///< 1,000 Mbit/s
-    double director_bytes_per_ms{2'500};   ///< 20 Mbit/s
+    double store_bytes_per_ms{125'000};     ///< 1,000 Mbit/s
+    double director_bytes_per_ms{2'500};    ///< 20 Mbit/s
     std::chrono::milliseconds spread{300};  ///< of the starts
 };
 
@@ -82,8 +82,8 @@
 TEST_CASE("FleetStartTest.NoTransferIsRepeatedWhenTheWholeFleetReadsAtOnce") {
     for (const std::size_t directors : {300, 1000}) {
         const fleet_start_options options{.directors = directors};
-        const auto outcome = start_fleet(
-            options, [](mono_time now) { return limits_of(reading_kind::whole, now); });
+        const auto outcome =
+            start_fleet(options, [](mono_time now) { return limits_of(reading_kind::whole, now); });
         CHECK(outcome.given_up == 0);
         const double least_ms = static_cast<double>(directors) * options.bytes / options.store_bytes_per_ms;
         CHECK(static_cast<double>(outcome.last_complete_ms) <=
@@ -93,8 +93,8 @@
 
 // Shows that the replay has the failure that the limits guard against.
 TEST_CASE("FleetStartTest.ALimitOnTheWholeTransferMakesTheFleetBeginAnew") {
-    const auto outcome = start_fleet({.directors = 1000},
-                                     [](mono_time now) { return within(now + read_timeout); });
+    const auto outcome =
+        start_fleet({.directors = 1000}, [](mono_time now) { return within(now + read_timeout); });
     CHECK(outcome.given_up > 1000);
 }
 
--- a/libs/net/tests/http_session_test.cpp
+++ b/libs/net/tests/http_session_test.cpp
@@ -149,8 +149,7 @@
 // Guards against a call that hangs on a connection that went silent in the middle of an answer.
 TEST_CASE("HttpSessionTest.AnAnswerThatStopsIsGivenUpBeforeTheCallsDeadline") {
     asio::io_context io;
-    slow_server server{
-        io, {"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc"}, std::chrono::milliseconds{1}};
+    slow_server server{io, {"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc"}, std::chrono::milliseconds{1}};
     http_session session{io, server.local()};
     const auto deadline = after_ms(60'000);
     const auto answer = run_get_within(io, session,
