Split the relay's header; a director is not its own member

The relay's file held messages, changes, roles and coverage; messages and changes have files of their own.

While reading: a director that found its own entry of an earlier life (a restart of a reader within 30 s) took itself for a member, sent its news to itself and took its own report for that of another reader. RosterTest.ADirectorIsNotItsOwnMember fails without the change; the model in DomainStartTest had worked round it and now does as the program.

--- a/apps/director/roster_keeper.cpp
+++ b/apps/director/roster_keeper.cpp
@@ -133,50 +133,48 @@
         failed(page.error());
         return;
     }
-    const auto& settings = context_.settings;
-    std::vector<reader_entry> entries;
     fleet_reading reading;
-    std::uint64_t listed_incarnation = 0;
+    std::vector<reader_entry> entries;
     readers_.clear();
     listed_ = false;
     for (const auto& item : page->items) {
-        if (item.key == domain_key_key(settings.failure_domain)) {
+        if (item.key == domain_key_key(context_.settings.failure_domain)) {
             keys_.keys = {item.value};
             reading.has_key = true;
-            continue;
-        }
-        auto entry = decode_reader_entry(item.value);
-        if (!entry) {
-            unreadable_.add();
-            continue;
-        }
-        const bool own = item.key == reader_key(settings.failure_domain, settings.vm);
-        reading.has_own = reading.has_own || own;
-        if (!own) {
-            ++reading.readers;
-            readers_.push_back(entry->reader.peer.news);
-        }
-        entry->members.push_back(entry->reader);
-        for (const auto& member : entry->members) {
-            if (member.peer.news == settings.news) {
-                listed_ = true;
-                listed_incarnation = std::max(listed_incarnation, member.incarnation);
+        } else if (auto entry = decode_reader_entry(item.value)) {
+            const bool own = item.key == reader_key(context_.settings.failure_domain, context_.settings.vm);
+            reading.has_own = reading.has_own || own;
+            reading.readers += own ? 0 : 1;
+            if (!own) {
+                readers_.push_back(entry->reader.peer.news);
             }
+            find_self_in(*entry);
+            entries.push_back(*std::move(entry));
+        } else {
+            unreadable_.add();
         }
-        std::erase_if(entry->members,
-                      [&settings](const roster_member& member) { return member.peer.news == settings.news; });
-        entries.push_back(*std::move(entry));
     }
     const auto time = now();
-    incarnation_ = next_incarnation(incarnation_, listed_incarnation);
-    (void)note_listed(table_, entries, state_.lease != 0, time);
+    (void)note_listed(table_, entries, context_.settings.news, state_.lease != 0, time);
     forget_gone(table_, time);
     fleet_read_at_ = time;
-    note_fleet_read(state_, reading, claim_delay(settings.news), time);
+    note_fleet_read(state_, reading, claim_delay(context_.settings.news), time);
     publish();
     schedule();
 }
 
+/// Learns from a reader's entry what it says of this director.
+void roster_keeper::find_self_in(const reader_entry& entry) {
+    const auto look_at = [this](const roster_member& member) {
+        if (member.peer.news == context_.settings.news) {
+            listed_ = true;
+            incarnation_ = next_incarnation(incarnation_, member.incarnation);
+        }
+    };
+    look_at(entry.reader);
+    std::ranges::for_each(entry.members, look_at);
+}
+
 void roster_keeper::start_lease() {
     const auto call = start_lease_call(registration_lease);
     session_.post(call.target, call.body, now() + call_timeout, [this](const result<http_response>& answer) {
--- a/apps/director/roster_keeper.hpp
+++ b/apps/director/roster_keeper.hpp
@@ -45,6 +45,7 @@
     void schedule();
     void read_fleet();
     void fleet_read(const result<http_response>& answer);
+    void find_self_in(const reader_entry& entry);
     void start_lease();
     void write_entry();
     void renew_lease();
--- a/libs/director/include/guavaramp/director/news_relay.hpp
+++ b/libs/director/include/guavaramp/director/news_relay.hpp
@@ -3,8 +3,7 @@
 #include <guavaramp/base/address.hpp>
 #include <guavaramp/base/error.hpp>
 #include <guavaramp/base/time.hpp>
-#include <guavaramp/director/roster.hpp>
-#include <guavaramp/director/upstreams.hpp>
+#include <guavaramp/director/relay_message.hpp>
 
 #include <chrono>
 #include <cstddef>
@@ -50,91 +49,10 @@
 /// How long a director that no reader's entry names leaves the second reader's place to others, while it
 /// hears one reader: it does not know yet who ranks before it.
 inline constexpr auto unlisted_patience = std::chrono::milliseconds{5000};
-/// Readers that a message names: those of a failure domain, and those that take over from them.
-inline constexpr std::size_t most_named_readers = 4;
-/// Entries of one message. With an entry of about 160 bytes the message stays below the path MTU.
-inline constexpr std::size_t most_relayed_entries = 7;
-/// Changes that a reader sends to a director that asks; one that lacks more reads the store.
-inline constexpr std::size_t most_asked_changes = 10 * most_relayed_entries;
-
 /// Directors to which a reader sends changes itself while there are no more. Of a larger failure domain it
 /// sends them to some, and each of these passes them on: a release of hundreds of hosts would otherwise fill
 /// the reader's link for half a second.
 inline constexpr std::size_t most_direct_receivers = 12;
-/// Directors that one director passes a message on to.
-inline constexpr std::size_t most_passed_on = 12;
-
-/// What a director knows of the listing.
-struct listing_state {
-    std::uint64_t revision{0};  ///< it knows every change up to here
-    std::uint64_t digest{0};    ///< of the listed entries, see `digest_of`
-
-    friend bool operator==(const listing_state&, const listing_state&) = default;
-};
-
-/// What a reader says of itself with each message.
-struct reader_report {
-    listing_state listing;
-    std::uint64_t configuration_revision{0};  ///< of the configuration in force there
-    std::uint32_t verified_age_ms{0};         ///< since the store last showed that its listing is complete
-    std::uint32_t steady_age_ms{0};           ///< since when the store has answered it without a failure
-    bool store_lost{false};                   ///< it is a reader, and the store does not answer it
-
-    friend bool operator==(const reader_report&, const reader_report&) = default;
-};
-
-/// All changes of the listing after `after_revision`, up to `news.revision`.
-struct listing_delta {
-    std::uint64_t after_revision{0};
-    upstream_news news;
-
-    friend bool operator==(const listing_delta&, const listing_delta&) = default;
-};
-
-struct relay_message {
-    reader_report report;
-    std::optional<listing_delta> delta;
-    /// Makes the sender a member for the receivers.
-    std::optional<roster_member> introduction;
-    /// Sockets of readers that the sender hears. With them a director that knows one reader finds the others.
-    std::vector<endpoint> readers;
-    /// The receiver passes the changes on to these.
-    std::vector<endpoint> pass_to;
-    /// The sender asks for all changes of the listing after this revision.
-    std::optional<std::uint64_t> wants_after;
-    /// The receiver's messages carry an incarnation below this one, which it had earlier: its clock was set
-    /// back. 0: they do not.
-    std::uint64_t expected_incarnation{0};
-
-    friend bool operator==(const relay_message&, const relay_message&) = default;
-};
-
-/// CBOR form, without authentication. Thread-safe.
-[[nodiscard]] std::vector<std::uint8_t> encode_relay_message(const relay_message& message);
-
-/// Inverse of `encode_relay_message`. Errors: `malformed`. Thread-safe.
-[[nodiscard]] result<relay_message> decode_relay_message(std::span<const std::byte> bytes);
-
-/// Splits `delta` into parts that each fit a message and that follow one another without a gap. Changes of
-/// one revision may need several parts: all but the last of these promise nothing, their revision is that
-/// which they follow. Thread-safe.
-[[nodiscard]] std::vector<listing_delta> split_delta(const listing_delta& delta);
-
-/// What a delta is to a director that knows every change up to `known`.
-enum class delta_fit : std::uint8_t {
-    applies,
-    known,  ///< brings nothing new
-    gap     ///< something before it is missing
-};
-
-/// See `delta_fit`. Thread-safe.
-[[nodiscard]] delta_fit fit_of(const listing_delta& delta, std::uint64_t known) noexcept;
-
-/// The delta that leads from a listing known up to `after_revision` to `listing`, when applying it made
-/// `changes`. Thread-safe.
-[[nodiscard]] listing_delta delta_between(std::uint64_t after_revision, const upstream_listing& listing,
-                                          std::span<const upstream_change> changes);
-
 /// A director that gets changes from a reader, and those it passes them on to.
 struct spread_group {
     endpoint head;
@@ -149,11 +67,6 @@
 [[nodiscard]] std::vector<spread_group> spread_groups(std::span<const endpoint> receivers,
                                                       const endpoint& reader);
 
-/// All changes of `directory` after `after_revision`, when it is known up to `revision`; nothing when they
-/// are more than `most_asked_changes`. Not thread-safe.
-[[nodiscard]] std::optional<listing_delta> delta_since(const upstream_directory& directory,
-                                                       std::uint64_t revision, std::uint64_t after_revision);
-
 /// The readers that this director has heard, by the socket of their news. Not thread-safe.
 struct known_reader {
     reader_report report;
@@ -163,9 +76,6 @@
     std::map<endpoint, known_reader> readers;
 };
 
-/// The report of a director that is no reader. Thread-safe.
-[[nodiscard]] reader_report make_greeting() noexcept;
-
 /// Remembers a report of another director, and forgets readers that have long been silent. Not thread-safe.
 void note_report(news_relay& relay, const endpoint& sender, const reader_report& report, mono_time now);
 
@@ -194,9 +104,6 @@
 void note_roster(reader_role& role, const endpoint& self, std::span<const endpoint> others, bool listed,
                  mono_time now);
 
-/// What a reader says that the store does not answer. Thread-safe.
-[[nodiscard]] reader_report make_lost_report() noexcept;
-
 /// A question to a reader that knows changes which are missing here.
 struct news_question {
     endpoint reader;
--- a/libs/director/include/guavaramp/director/roster.hpp
+++ b/libs/director/include/guavaramp/director/roster.hpp
@@ -61,10 +61,11 @@
 /// A director has introduced itself. Returns whether the members have changed. Not thread-safe.
 bool note_introduced(member_table& table, const roster_member& member, mono_time now);
 
-/// Readers' entries name these members. Whoever writes an entry, `writes`, learns only of members that are
-/// new to it: those that it knows introduce themselves to it. Returns whether the members have changed. Not
-/// thread-safe.
-bool note_listed(member_table& table, std::span<const reader_entry> entries, bool writes, mono_time now);
+/// Readers' entries name these members; the director at `self`, whose table this is, is not its own member.
+/// Whoever writes an entry, `writes`, learns only of members that are new to it: those that it knows
+/// introduce themselves to it. Returns whether the members have changed. Not thread-safe.
+bool note_listed(member_table& table, std::span<const reader_entry> entries, const endpoint& self,
+                 bool writes, mono_time now);
 
 /// Forgets what has long been gone. Not thread-safe.
 void forget_gone(member_table& table, mono_time now);
--- a/libs/director/src/roster.cpp
+++ b/libs/director/src/roster.cpp
@@ -90,11 +90,12 @@
     return changed;
 }
 
-bool note_listed(member_table& table, std::span<const reader_entry> entries, bool writes, mono_time now) {
+bool note_listed(member_table& table, std::span<const reader_entry> entries, const endpoint& self,
+                 bool writes, mono_time now) {
     bool changed = false;
     const auto note = [&](const roster_member& member) {
-        const auto known = table.by_news.find(member.peer.news);
-        if (known == table.by_news.end() || !writes) {
+        const bool is_known = table.by_news.contains(member.peer.news);
+        if (member.peer.news != self && (!is_known || !writes)) {
             changed = note_introduced(table, member, now) || changed;
         }
     };
--- a/libs/director/tests/domain_start_test.cpp
+++ b/libs/director/tests/domain_start_test.cpp
@@ -226,21 +226,14 @@
             if (!own) {
                 one.entry_readers.push_back(news);
             }
-            auto others = entry;
-            others.members.push_back(entry.reader);
-            std::erase_if(others.members, [&one](const roster_member& member) {
-                return member.peer.news == one.self.peer.news;
-            });
-            one.listed = one.listed || others.members.size() <= entry.members.size();
-            if (own) {
-                others.reader = others.members.empty() ? entry.reader : others.members.front();
-            }
-            if (!own || !others.members.empty()) {
-                entries.push_back(others);
-            }
+            one.listed =
+                one.listed || std::ranges::any_of(entry.members, [&one](const roster_member& member) {
+                    return member.peer.news == one.self.peer.news;
+                });
+            entries.push_back(entry);
         }
         one.knows_key = one.knows_key || reading.has_key;
-        (void)note_listed(one.table, entries, one.state.lease != 0, at_ms(now_ms_));
+        (void)note_listed(one.table, entries, one.self.peer.news, one.state.lease != 0, at_ms(now_ms_));
         forget_gone(one.table, at_ms(now_ms_));
         one.read_ms = now_ms_;
         note_fleet_read(one.state, reading, claim_delay(one.self.peer.news), at_ms(now_ms_));
--- a/libs/director/tests/roster_test.cpp
+++ b/libs/director/tests/roster_test.cpp
@@ -73,11 +73,8 @@
     for (auto* table : {&first, &second}) {
         (void)note_introduced(*table, member(9), at_ms(0));
     }
-    // What the other reader takes from an entry leaves out itself.
     const auto entry_of = [](const member_table& table, std::uint8_t reader, std::int64_t now_ms) {
-        auto members = standing_members(table, at_ms(now_ms));
-        std::erase_if(members, [](const roster_member& named) { return named != member(9); });
-        return reader_entry{.reader = member(reader), .members = members};
+        return reader_entry{.reader = member(reader), .members = standing_members(table, at_ms(now_ms))};
     };
     auto written_by_first = entry_of(first, 1, 0);
     auto written_by_second = entry_of(second, 2, 0);
@@ -85,8 +82,8 @@
     for (std::int64_t now_ms = 10'000; now_ms <= 120'000; now_ms += 10'000) {
         (void)note_introduced(first, member(2), at_ms(now_ms));
         (void)note_introduced(second, member(1), at_ms(now_ms));
-        (void)note_listed(first, std::span{&written_by_second, 1}, true, at_ms(now_ms));
-        (void)note_listed(second, std::span{&written_by_first, 1}, true, at_ms(now_ms));
+        (void)note_listed(first, std::span{&written_by_second, 1}, member(1).peer.news, true, at_ms(now_ms));
+        (void)note_listed(second, std::span{&written_by_first, 1}, member(2).peer.news, true, at_ms(now_ms));
         forget_gone(first, at_ms(now_ms));
         forget_gone(second, at_ms(now_ms));
         written_by_first = entry_of(first, 1, now_ms);
@@ -96,12 +93,22 @@
     CHECK(count_at(second, 120'000) == 1);
 }
 
+// Guards against a director that finds its own entry of an earlier life, sends its news to itself and takes
+// its own report for that of another reader.
+TEST_CASE("RosterTest.ADirectorIsNotItsOwnMember") {
+    member_table table;
+    const std::vector<reader_entry> entries{{.reader = member(1), .members = {member(2)}},
+                                            {.reader = member(2), .members = {member(1)}}};
+    (void)note_listed(table, entries, member(1).peer.news, false, at_ms(0));
+    CHECK(standing_members(table, at_ms(0)) == std::vector{member(2)});
+}
+
 TEST_CASE("RosterTest.OtherDirectorsTakeTheMembersThatReadersName") {
     member_table table;
     const reader_entry entry{.reader = member(1), .members = {member(2), member(3)}};
-    CHECK(note_listed(table, std::span{&entry, 1}, false, at_ms(0)));
+    CHECK(note_listed(table, std::span{&entry, 1}, member(7).peer.news, false, at_ms(0)));
     CHECK(count_at(table, 0) == 3);
-    CHECK_FALSE(note_listed(table, std::span{&entry, 1}, false, at_ms(20'000)));
+    CHECK_FALSE(note_listed(table, std::span{&entry, 1}, member(7).peer.news, false, at_ms(20'000)));
     CHECK(count_at(table, 45'000) == 3);
 }
 
