--- a/scripts/experiments/capacity.py
+++ b/scripts/experiments/capacity.py
@@ -192,9 +192,9 @@
               f"commit {data['commit'][:10]}"
               for name, data in (("slopes", slopes), ("configuration", configuration), ("fleet", fleets[0]))}
 
-    text = f"""# Capacity at the design size
+    text = f"""# Capacity of guavaramp-entry at the design size
 
-Design size: {DAEMONS} daemons, {HOSTS:,} hosts, {SERVICES:,} service addresses, {OPEN_FLOWS / 1e6:.1f} million open flows, {NEW_FLOWS_PER_S:,} new flows a second, {CHANGES_PER_DAY:,} changes a day, 2 regions with {DOMAINS} failure domains. Budget per daemon for control: 4.6% of a core, 64 MB, 19 KB a second. The daemon is `guavaramp-entry`; what is measured of `guavaramp-director` stands in [measurements](measurements.md).
+Design size: {DAEMONS} daemons, {HOSTS:,} hosts, {SERVICES:,} service addresses, {OPEN_FLOWS / 1e6:.1f} million open flows, {NEW_FLOWS_PER_S:,} new flows a second, {CHANGES_PER_DAY:,} changes a day, 2 regions with {DOMAINS} failure domains. Budget per daemon for control: 4.6% of a core, 64 MB, 19 KB a second. The daemon is `guavaramp-entry`; `guavaramp-director` has [a page of its own](../CAPACITY.md).
 
 This page is written by `scripts/capacity page` from the data in `docs/capacity`; edit the script, not the page. All figures are from one shared machine with 10 noisy cores, real daemons on loopback, up to 81 of them. Everything beyond 81 daemons is extrapolated by the fit that is named; where noise gives a negative slope, the largest measurement is taken. CPU is read in ticks of 10 ms over 4 s, so one step is 0.25% of a core. The two points against open flows differ by noise, and their fit is an upper bound.
 
@@ -213,14 +213,14 @@
 
 | slope | measured | fit | at the design size | source |
 | --- | --- | --- | --- | --- |
-| [control bytes against daemons, settled](capacity/control-bytes.svg) | {settled} | {settled_fit[0]:.1f} + {settled_fit[1]:.1f} ln n | {settled_fit[2]:.0f} B/s | {source['fleet']} (and `--count 27`, `--count 81`) |
-| [control bytes against daemons, 2 to 6 s after the start](capacity/control-bytes-start.svg) | {started} | {started_fit[0]:.1f} + {started_fit[1]:.1f} ln n | {started_fit[2]:.0f} B/s | {source['slopes']} |
-| [CPU of the control threads against daemons](capacity/control-cpu.svg) | {cpu} | {cpu_fit[0]:.5f} + {cpu_fit[1]:.2e} n | {percent(cpu_fit[2])} | {source['slopes']} |
+| [control bytes against daemons, settled](control-bytes.svg) | {settled} | {settled_fit[0]:.1f} + {settled_fit[1]:.1f} ln n | {settled_fit[2]:.0f} B/s | {source['fleet']} (and `--count 27`, `--count 81`) |
+| [control bytes against daemons, 2 to 6 s after the start](control-bytes-start.svg) | {started} | {started_fit[0]:.1f} + {started_fit[1]:.1f} ln n | {started_fit[2]:.0f} B/s | {source['slopes']} |
+| [CPU of the control threads against daemons](control-cpu.svg) | {cpu} | {cpu_fit[0]:.5f} + {cpu_fit[1]:.2e} n | {percent(cpu_fit[2])} | {source['slopes']} |
 | control bytes against changes | {by_changes[0]['control_bytes_per_second']} B/s at 0, {by_changes[1]['control_bytes_per_second']} at {by_changes[1]['changes_per_minute']} a minute (9 daemons) | {change_slope:.1f} B/s for each change a minute | {change_bytes:.0f} B/s at {changes_per_minute:.2f} a minute | {source['slopes']} |
-| [control bytes against open flows](capacity/flows.svg) | {flows} | {flow_fit[0]:.1f} + {flow_fit[1]:.2e} f | {flow_fit[2]:.0f} B/s | {source['slopes']} |
-| [resident memory against hosts in the configuration](capacity/configuration-memory.svg) | {[(hosts, megabytes(value)) for hosts, value in memory]} | {megabytes(memory_fit[0])} + {memory_fit[1]:.0f} bytes a host (with its share of services) | {megabytes(memory_fit[2])} | {source['configuration']} |
-| [time until in force against daemons](capacity/in-force.svg) | {force} | {force_fit[0]:.3f} + {force_fit[1]:.3f} ln n | {force_fit[2]:.2f} s | {source['fleet']} |
-| [platform calls against daemons](capacity/platform-calls.svg) | {calls} | {calls_fit[0]:.2f} + {calls_fit[1]:.2f} ln n | {calls_fit[2]:.1f} a second | {source['fleet']} |
+| [control bytes against open flows](flows.svg) | {flows} | {flow_fit[0]:.1f} + {flow_fit[1]:.2e} f | {flow_fit[2]:.0f} B/s | {source['slopes']} |
+| [resident memory against hosts in the configuration](configuration-memory.svg) | {[(hosts, megabytes(value)) for hosts, value in memory]} | {megabytes(memory_fit[0])} + {memory_fit[1]:.0f} bytes a host (with its share of services) | {megabytes(memory_fit[2])} | {source['configuration']} |
+| [time until in force against daemons](in-force.svg) | {force} | {force_fit[0]:.3f} + {force_fit[1]:.3f} ln n | {force_fit[2]:.2f} s | {source['fleet']} |
+| [platform calls against daemons](platform-calls.svg) | {calls} | {calls_fit[0]:.2f} + {calls_fit[1]:.2f} ln n | {calls_fit[2]:.1f} a second | {source['fleet']} |
 
 {slopes['not_run']}.
 
@@ -240,18 +240,6 @@
 
 **Requests.** State: an entry per request id until 10 minutes after its deadline. The design size names no request rate; see `docs/operations/floods.md` for limits.
 
-## Directors
-
-`guavaramp-director` serves the users' platform ([platform](platform.md)); these figures are worked out from its settings and message sizes and not from slopes, except where a run is named.
-
-| role | state | messages at 133 directors a failure domain | mechanism |
-| --- | --- | --- | --- |
-| reader | listing and configuration | a report of about 90 bytes with its headers to 132 others each 0.7 s: 17 KB/s, below the budget of 19 KB/s by little; a change adds about 160 bytes an entry and receiver | two readers a failure domain, 8 in all: 2 watches each, cached checks each 0.75 s |
-| follower | the same | 2 reports each 0.7 s received: 0.3 KB/s; no call to the store while nothing changes but its lease (0.2 calls in 10 s at full price) | digests, deltas, cached readings of a named configuration |
-| starting director | 320 KB of waiting packets at most | 4 calls: configuration, listing, lease, entry | held packets, neighbours |
-
-Measured: 5.0 calls a second for 86 directors in 5 failure domains on a quiet day with a change of the configuration ([measurements](measurements.md)). 410 restarts a day are 0.02 calls a second. What breaks first is the reader's budget for bytes, with more than 145 directors in a failure domain; weighed: reports over a tree of followers, a longer period while nothing changes. Not built.
-
 ## Failures
 
 | event | while it lasts | when it returns |
@@ -266,5 +254,5 @@
 2. **Collecting revisions after a change**, {kilobytes(DAEMONS * 200)} in one burst at the accepting daemon. Weighed: summaries per failure domain. Not built.
 3. **Relays for short flows.** When every packet of a flow reaches another entry VM, each is relayed once: the data path carries up to twice the packets. Direct use of the first candidate for flows without exceptions was weighed in `docs/decisions/flow-owner.md`.
 """
-    with open(os.path.join(root, "docs/CAPACITY.md"), "w") as file:
+    with open(os.path.join(root, "docs/capacity/guavaramp-entry.md"), "w") as file:
         file.write(text)
