Read the newest listing when readers do not confirm the one from cached answers

Worked out from the code: pages of different age lack a change that is older than their newest entry; asking for what came after that entry brings nothing, and the store's revision that the answer names is above the readers', whose reports then say nothing.

Change: a listing from cached answers that differs from a reader's is read in whole from the newest state, and so is one that no reader has confirmed within 3 s.

Tests: StoreSyncTest.AListingFromCachedAnswersThatDiffersIsReadInWhole and AListingFromCachedAnswersThatNobodyConfirmsIsReadInWhole; both fail without the change.

--- a/libs/director/include/guavaramp/director/store_sync.hpp
+++ b/libs/director/include/guavaramp/director/store_sync.hpp
@@ -58,6 +58,9 @@
 /// Cached readings that may be too old before the newest one is asked for: with the waits between them,
 /// `least_configuration_period` here and at the reader, the change is in force within 2.6 of the 3 s.
 inline constexpr std::uint32_t most_cached_readings = 2;
+/// How long a director waits for readers to confirm a listing that came from cached answers before it reads
+/// the newest one: below the 4 s for which a machine that has just started need not know every change.
+inline constexpr auto confirmation_wait = std::chrono::milliseconds{3000};
 /// Readings in a row of what has changed that may leave the listing different from a reader's; then all of it
 /// is read.
 inline constexpr std::uint32_t most_catch_ups = 2;
@@ -90,6 +93,7 @@
     mono_time behind_since{mono_time::max()};
     std::uint32_t old_readings{0};  ///< cached ones in a row that did not show the newer revision
     std::uint32_t catch_ups{0};     ///< in a row, while others still have something else
+    mono_time read_at{};            ///< when the first reading ended
     /// Was complete at some time: read in whole from the newest state, or confirmed by readers.
     bool verified{false};
 };
--- a/libs/director/src/store_sync.cpp
+++ b/libs/director/src/store_sync.cpp
@@ -27,6 +27,12 @@
     return sync.is_reader && subject == store_subject::listing && !verified;
 }
 
+/// Whether the listing came from cached answers, and no reader has confirmed it. Pages of different age can
+/// lack a change that is older than the newest one, so reading what has changed does not mend it.
+bool awaits_confirmation(const subject_sync& state, store_subject subject) noexcept {
+    return subject == store_subject::listing && state.known && !state.verified;
+}
+
 /// Whether the first configuration waits for the first listing. With the listing, open flows go on; together,
 /// both take as long as the larger one when the whole fleet starts and the store's link is the narrowest
 /// place.
@@ -45,6 +51,9 @@
     if (!is_covered(sync, state) || state.wanted) {
         return state.next_at;
     }
+    if (awaits_confirmation(state, subject) && !is_behind(state)) {
+        return std::max(state.next_at, std::min(state.read_at + confirmation_wait, sync.covered_until));
+    }
     if (!is_behind(state)) {
         return std::max(state.next_at, sync.covered_until);
     }
@@ -59,6 +68,9 @@
         const bool cached_does = state.absent || (!sync.is_reader && !state.known);
         return cached_does && cached_allowed ? reading_kind::whole_cached : reading_kind::whole;
     }
+    if (awaits_confirmation(state, subject)) {
+        return reading_kind::whole;
+    }
     const bool follows = is_covered(sync, state) && is_behind(state) && now < sync.covered_until;
     if (!follows) {
         return reading_kind::watch;
@@ -111,6 +123,7 @@
              .read_whole = must_verify(sync, reading.subject, verified),
              .known = true,
              .catch_ups = caught_up ? state.catch_ups + 1 : 0,
+             .read_at = state.known ? state.read_at : now,
              .verified = verified};
     if (sync.steady_since == mono_time::max()) {
         sync.steady_since = now;
--- a/libs/director/tests/store_sync_test.cpp
+++ b/libs/director/tests/store_sync_test.cpp
@@ -275,6 +275,31 @@
     CHECK(start(confirmed, store_subject::listing, 900).kind == reading_kind::watch);
 }
 
+// Replays azulejo-austro-large scale-1: directors that were added read cached pages of different age, which
+// lacked a drain older than their newest entry. What has changed since that entry was read, its revision was
+// above the readers', and nothing showed the difference any more (DRAIN, 36 ms late after 6 s).
+TEST_CASE("StoreSyncTest.AListingFromCachedAnswersThatDiffersIsReadInWhole") {
+    auto sync = starting_sync();
+    note_read(sync, start(sync, store_subject::listing, 0), at_ms(0), at_ms(100));
+    note_coverage(sync, at_ms(100'000));
+    note_behind(sync, store_subject::listing, true, at_ms(110));
+    CHECK(start(sync, store_subject::listing, 410).kind == reading_kind::whole);
+}
+
+// Guards against the same while the readers are behind this director and say nothing of its listing.
+TEST_CASE("StoreSyncTest.AListingFromCachedAnswersThatNobodyConfirmsIsReadInWhole") {
+    auto sync = starting_sync();
+    note_read(sync, start(sync, store_subject::listing, 0), at_ms(0), at_ms(100));
+    note_coverage(sync, at_ms(100'000));
+    note_behind(sync, store_subject::listing, false, at_ms(110));
+    due_reading due{};
+    CHECK_FALSE(start_if_due(sync, store_subject::listing, at_ms(3099), due));
+    auto confirmed = sync;
+    CHECK(start(sync, store_subject::listing, 3100).kind == reading_kind::whole);
+    note_confirmed(confirmed, store_subject::listing);
+    CHECK_FALSE(start_if_due(confirmed, store_subject::listing, at_ms(10'000), due));
+}
+
 // The same when it becomes a reader before the cached answer has come.
 TEST_CASE("StoreSyncTest.AReaderReadsTheNewestListingAfterACachedReadingInProgress") {
     auto sync = starting_sync();
