--- a/apps/director/news_exchange.cpp
+++ b/apps/director/news_exchange.cpp
@@ -118,8 +118,9 @@
         return;
     }
     for (auto& part : split_delta(*delta)) {
-        send_to(std::span{&sender, 1}, {.report = own_report(), .delta = std::move(part)});
+        queue(std::span{&sender, 1}, {.report = own_report(), .delta = std::move(part)});
     }
+    socket_.flush();
 }
 
 /// Asks a reader for what is missing here. Without an answer the store is asked, see `repair_wait`.
@@ -154,9 +155,8 @@
 }
 
 void news_exchange::wait_until(mono_time reconsider_at) {
-    const auto look_at = has_greeted_ ? mono_time::max() : now() + first_look_period;
-    const auto greet_at = has_greeted_ ? greet_at_ : mono_time::max();
-    timer_.expires_at(std::min({report_at_, reconsider_at, look_at, greet_at, question_.ask_at}));
+    const auto greet_at = has_greeted_ ? greet_at_ : now() + first_look_period;
+    timer_.expires_at(std::min({report_at_, reconsider_at, greet_at, question_.ask_at}));
     timer_.async_wait([this](const std::error_code& failure) {
         if (!failure) {
             wake();
@@ -247,9 +247,10 @@
     const auto groups = spread_groups(receivers, context_.settings.news);
     for (const auto& part : split_delta(*delta)) {
         for (const auto& group : groups) {
-            send_to(std::span{&group.head, 1}, {.report = report, .delta = part, .pass_to = group.others});
+            queue(std::span{&group.head, 1}, {.report = report, .delta = part, .pass_to = group.others});
         }
     }
+    socket_.flush();
 }
 
 std::vector<endpoint> news_exchange::listed_peers() {
@@ -261,6 +262,11 @@
 }
 
 void news_exchange::send_to(std::span<const endpoint> receivers, const relay_message& message) {
+    queue(receivers, message);
+    socket_.flush();
+}
+
+void news_exchange::queue(std::span<const endpoint> receivers, const relay_message& message) {
     const auto payload = encode_relay_message(message);
     if (payload.size() + datagram_seal_size > max_datagram_size) {
         // The receivers see from the next report that they have missed something, and read it themselves.
@@ -271,7 +277,6 @@
     for (const auto& receiver : receivers) {
         socket_.send(receiver, payload, time);
     }
-    socket_.flush();
 }
 
 }  // namespace guavaramp
--- a/apps/director/news_exchange.hpp
+++ b/apps/director/news_exchange.hpp
@@ -75,6 +75,8 @@
     /// Returns when to look again if no message comes.
     mono_time update_source();
     void send_to(std::span<const endpoint> receivers, const relay_message& message);
+    /// The same without sending yet: many messages then leave in few system calls.
+    void queue(std::span<const endpoint> receivers, const relay_message& message);
     [[nodiscard]] std::vector<endpoint> listed_peers();
 
     director_context& context_;
--- a/apps/director/packet_duty.cpp
+++ b/apps/director/packet_duty.cpp
@@ -127,22 +127,17 @@
     /// Takes over what the control thread has published. Waiting packets are looked at again then.
     void refresh_view() {
         bool changed = false;
-        if (const auto version = context_.view.version(); version != view_version_) {
-            view_version_ = version;
-            view_ = context_.view.get();
-            if (view_ != nullptr && was_suspended(view_->suspended, suspended_)) {
-                view_ = std::make_shared<const fleet_view>(without_trust(*view_));
-            }
+        if (auto newer = context_.view.get_newer(view_version_)) {
+            const bool is_trusted = !was_suspended(newer->suspended, suspended_);
+            view_ = is_trusted ? std::move(newer) : std::make_shared<const fleet_view>(without_trust(*newer));
             changed = true;
         }
-        if (const auto version = context_.neighbour.version(); version != neighbour_version_) {
-            neighbour_version_ = version;
-            neighbour_ = *context_.neighbour.get();
+        if (const auto newer = context_.neighbour.get_newer(neighbour_version_)) {
+            neighbour_ = *newer;
             changed = true;
         }
-        if (const auto version = context_.roster.version(); version != roster_version_) {
-            roster_version_ = version;
-            state_.share = share_among(context_.settings.peers, context_.roster.get()->peers);
+        if (const auto newer = context_.roster.get_newer(roster_version_)) {
+            state_.share = share_among(context_.settings.peers, newer->peers);
         }
         if (changed && !held_.packets.empty()) {
             handle_held();
--- a/apps/director/peer_socket.cpp
+++ b/apps/director/peer_socket.cpp
@@ -35,9 +35,8 @@
 }
 
 const std::shared_ptr<const fleet_roster>& peer_socket::roster() {
-    if (const auto version = context_.roster.version(); version != roster_version_) {
-        roster_version_ = version;
-        roster_ = context_.roster.get();
+    if (auto newer = context_.roster.get_newer(roster_version_)) {
+        roster_ = std::move(newer);
     }
     return roster_;
 }
--- a/apps/director/roster_keeper.cpp
+++ b/apps/director/roster_keeper.cpp
@@ -41,9 +41,9 @@
 
 void roster_keeper::start() { take_step(); }
 
-void roster_keeper::set_reader(bool is_reader) {
-    if (is_reader != (state_.reader_since != mono_time::max())) {
-        note_reader(state_, is_reader, now());
+void roster_keeper::set_reader(bool reads) {
+    if (reads != is_reader(state_)) {
+        note_reader(state_, reads, now());
         schedule();
     }
 }
--- a/apps/director/roster_keeper.hpp
+++ b/apps/director/roster_keeper.hpp
@@ -26,7 +26,7 @@
     void start();
 
     /// Whether this director is a reader.
-    void set_reader(bool is_reader);
+    void set_reader(bool reads);
 
     /// A director has introduced itself. One of another failure domain is ignored.
     void add_member(const roster_member& member);
--- a/apps/director/store_reader.cpp
+++ b/apps/director/store_reader.cpp
@@ -182,9 +182,13 @@
     publish();
 }
 
+store_reader::subject_reading& store_reader::reading_of(store_subject subject) noexcept {
+    return subject == store_subject::configuration ? configuration_ : listing_;
+}
+
 void store_reader::give_up_watch(store_subject subject) {
     if (is_needless_watch(sync_, subject)) {
-        (subject == store_subject::configuration ? configuration_ : listing_).session.cancel();
+        reading_of(subject).session.cancel();
         note_given_up(sync_, subject, now());
     }
 }
@@ -200,7 +204,7 @@
     if (state.read_whole) {
         return;
     }
-    (subject == store_subject::configuration ? configuration_ : listing_).session.cancel();
+    reading_of(subject).session.cancel();
     state.reading = false;
     want_whole(sync_, subject, now());
     read_due();
@@ -257,7 +261,7 @@
 }
 
 void store_reader::check_ended(store_subject subject, bool answered, bool missed) {
-    const auto& reading = subject == store_subject::configuration ? configuration_ : listing_;
+    const auto& reading = reading_of(subject);
     const auto& state = sync_of(sync_, subject);
     const bool watching = state.reading && !state.read_whole && now() >= reading.started + least_watched_time;
     if (missed && watching) {
@@ -316,7 +320,7 @@
 
 void store_reader::watch(const due_reading& due, std::string_view prefix,
                          void (store_reader::*answered)(const result<http_response>&)) {
-    auto& reading = due.subject == store_subject::configuration ? configuration_ : listing_;
+    auto& reading = reading_of(due.subject);
     const auto wait = due.kind == reading_kind::catch_up ? catch_up_wait : watch_wait;
     watches_.add();
     reading.session.get(watch_target(prefix, reading.watched_revision, wait),
@@ -514,7 +518,7 @@
 }
 
 void store_reader::succeeded(const due_reading& reading, std::uint64_t store_revision) {
-    auto& subject = reading.subject == store_subject::configuration ? configuration_ : listing_;
+    auto& subject = reading_of(reading.subject);
     // A whole reading sets the revision anew; the store's history may have started over.
     const bool whole = reading.kind == reading_kind::whole;
     subject.watched_revision = whole ? store_revision : std::max(subject.watched_revision, store_revision);
--- a/apps/director/store_reader.hpp
+++ b/apps/director/store_reader.hpp
@@ -61,6 +61,7 @@
         std::uint64_t watched_revision{0};
     };
 
+    [[nodiscard]] subject_reading& reading_of(store_subject subject) noexcept;
     void read_due();
     void reread(store_subject subject);
     void give_up_watch(store_subject subject);
--- a/apps/entry/packet_thread.cpp
+++ b/apps/entry/packet_thread.cpp
@@ -118,19 +118,14 @@
     }
 
     void refresh_snapshots(steering_time now) {
-        if (const auto version = context_.config.version(); version != config_version_) {
-            config_version_ = version;
-            set_config(state_, context_.config.get(), now);
+        if (auto newer = context_.config.get_newer(config_version_)) {
+            set_config(state_, std::move(newer), now);
         }
-        if (const auto version = context_.members.version(); version != members_version_) {
-            members_version_ = version;
-            if (const auto members = context_.members.get()) {
-                set_members(state_, *members, now);
-            }
+        if (const auto newer = context_.members.get_newer(members_version_)) {
+            set_members(state_, *newer, now);
         }
-        if (const auto version = context_.blocked_peers.version(); version != blocked_version_) {
-            blocked_version_ = version;
-            blocked_peers_ = context_.blocked_peers.get();
+        if (auto newer = context_.blocked_peers.get_newer(blocked_version_)) {
+            blocked_peers_ = std::move(newer);
         }
         state_.refreshing = context_.refreshing;
         if (context_.leaving && !state_.leaving) {
--- a/libs/base/include/guavaramp/base/published.hpp
+++ b/libs/base/include/guavaramp/base/published.hpp
@@ -24,6 +24,17 @@
         return value_;
     }
 
+    /// The latest value when it is not the one that `known` stands for, which is brought up to date; null
+    /// otherwise. 0 stands for none.
+    [[nodiscard]] std::shared_ptr<const T> get_newer(std::uint64_t& known) const {
+        const auto latest = version();
+        if (latest == known) {
+            return nullptr;
+        }
+        known = latest;
+        return get();
+    }
+
     [[nodiscard]] std::uint64_t version() const noexcept { return version_.load(std::memory_order_acquire); }
 
 private:
--- a/libs/director/include/guavaramp/director/news_relay.hpp
+++ b/libs/director/include/guavaramp/director/news_relay.hpp
@@ -53,6 +53,7 @@
 /// sends them to some, and each of these passes them on: a release of hundreds of hosts would otherwise fill
 /// the reader's link for half a second.
 inline constexpr std::size_t most_direct_receivers = 12;
+
 /// A director that gets changes from a reader, and those it passes them on to.
 struct spread_group {
     endpoint head;
--- a/libs/director/include/guavaramp/director/registration.hpp
+++ b/libs/director/include/guavaramp/director/registration.hpp
@@ -76,7 +76,10 @@
 /// What to do next, when the own entry should name members with the digest `members`. Not thread-safe.
 [[nodiscard]] due_step next_step(const registration& state, std::uint64_t members) noexcept;
 
-/// Whether this director is a reader. One that no longer is lets its entry end with its lease. Not
+/// Whether this director is a reader. Not thread-safe.
+[[nodiscard]] bool is_reader(const registration& state) noexcept;
+
+/// Sets whether this director is a reader. One that no longer is lets its entry end with its lease. Not
 /// thread-safe.
 void note_reader(registration& state, bool is_reader, mono_time now) noexcept;
 
--- a/libs/director/src/neighbours.cpp
+++ b/libs/director/src/neighbours.cpp
@@ -1,6 +1,6 @@
-#include <guavaramp/director/neighbours.hpp>
+#include "json_reading.hpp"
 
-#include <nlohmann/json.hpp>
+#include <guavaramp/director/neighbours.hpp>
 
 #include <algorithm>
 
@@ -9,38 +9,23 @@
 using nlohmann::json;
 
 std::string encode_neighbour_answer(const neighbour_answer& answer) {
-    json others = json::array();
-    for (const auto& other : answer.others) {
-        others.push_back(to_string(other));
-    }
     return json{{"packets", to_string(answer.packets)},
                 {"failure_domain", answer.failure_domain},
-                {"others", std::move(others)}}
+                {"others", to_json(answer.others)}}
         .dump();
 }
 
 result<neighbour_answer> decode_neighbour_answer(std::string_view text) {
     const auto value = json::parse(text, nullptr, false);
-    const auto is_text = [&value](const char* name) {
-        return value.is_object() && value.contains(name) && value[name].is_string();
-    };
-    if (!is_text("packets") || !is_text("failure_domain") || !value.contains("others") ||
-        !value["others"].is_array() || value["others"].size() > most_neighbours) {
-        return fail(error_kind::malformed, "a neighbour's answer lacks its address or failure domain");
-    }
-    const auto packets = parse_endpoint(value["packets"].get<std::string>());
-    if (!packets) {
-        return tl::make_unexpected(packets.error());
-    }
-    neighbour_answer answer{
-        .packets = *packets, .failure_domain = value["failure_domain"].get<std::string>(), .others = {}};
-    for (const auto& other : value["others"]) {
-        const auto address = other.is_string() ? parse_endpoint(other.get<std::string>())
-                                               : fail(error_kind::malformed, "an address is no text");
-        if (!address) {
-            return tl::make_unexpected(address.error());
-        }
-        answer.others.push_back(*address);
+    neighbour_answer answer;
+    const bool complete = value.is_object() && value.contains("packets") &&
+                          value.contains("failure_domain") && value.contains("others") &&
+                          read_socket(value["packets"], answer.packets) &&
+                          read_text(value["failure_domain"], answer.failure_domain) &&
+                          read_array(value["others"], most_neighbours, answer.others, read_socket);
+    if (!complete) {
+        return fail(error_kind::malformed,
+                    "a neighbour's answer lacks its addresses, its failure domain or its others");
     }
     return answer;
 }
--- a/libs/director/src/peers.cpp
+++ b/libs/director/src/peers.cpp
@@ -1,6 +1,6 @@
-#include <guavaramp/director/peers.hpp>
+#include "json_reading.hpp"
 
-#include <nlohmann/json.hpp>
+#include <guavaramp/director/peers.hpp>
 
 #include <limits>
 
@@ -11,10 +11,6 @@
 
 constexpr std::size_t note_fields = 3;
 
-bool is_count(const json& value, std::uint64_t most) {
-    return value.is_number_unsigned() && value.get<std::uint64_t>() <= most;
-}
-
 result<host_note> read_note(const json& value) {
     constexpr std::uint64_t most_32 = std::numeric_limits<std::uint32_t>::max();
     const bool valid = value.is_array() && value.size() == note_fields &&
--- a/libs/director/src/registration.cpp
+++ b/libs/director/src/registration.cpp
@@ -5,8 +5,6 @@
 namespace guavaramp {
 namespace {
 
-bool is_reader(const registration& state) noexcept { return state.reader_since != mono_time::max(); }
-
 /// From when on this director may have an entry.
 mono_time registers_at(const registration& state) noexcept {
     if (!is_reader(state) || !state.was_read) {
@@ -18,6 +16,8 @@
 
 }  // namespace
 
+bool is_reader(const registration& state) noexcept { return state.reader_since != mono_time::max(); }
+
 due_step next_step(const registration& state, std::uint64_t members) noexcept {
     due_step next{.step = registration_step::read_fleet, .at = state.read_at};
     const auto consider = [&next](registration_step step, mono_time at) {
--- a/libs/director/src/relay_message.cpp
+++ b/libs/director/src/relay_message.cpp
@@ -1,6 +1,6 @@
-#include <guavaramp/director/relay_message.hpp>
+#include "json_reading.hpp"
 
-#include <nlohmann/json.hpp>
+#include <guavaramp/director/relay_message.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -20,54 +20,11 @@
 /// Entries of a message that is accepted; more do not fit a datagram.
 constexpr std::size_t most_accepted_entries = 64;
 
-bool is_count(const json& value, std::uint64_t most = std::numeric_limits<std::uint64_t>::max()) {
-    return value.is_number_unsigned() && value.get<std::uint64_t>() <= most;
-}
-
-template <typename Number>
-bool read_number(const json& value, Number& out) {
-    if (!is_count(value, static_cast<std::uint64_t>(std::numeric_limits<Number>::max()))) {
-        return false;
-    }
-    out = static_cast<Number>(value.get<std::uint64_t>());
-    return true;
-}
-
-bool read_text(const json& value, std::string& out) {
-    if (!value.is_string()) {
-        return false;
-    }
-    out = value.get<std::string>();
-    return true;
-}
-
-/// Reads each element of an array with `read`.
-template <typename Value, typename Read>
-bool read_array(const json& from, std::vector<Value>& out, Read read) {
-    if (!from.is_array() || from.size() > most_accepted_entries) {
-        return false;
-    }
-    for (const auto& element : from) {
-        if (!read(element, out.emplace_back())) {
-            return false;
-        }
-    }
-    return true;
-}
-
 json to_json(const reader_report& report) {
     return json::array({report.listing.revision, report.listing.digest, report.configuration_revision,
                         report.verified_age_ms, report.steady_age_ms, report.store_lost});
 }
 
-bool read_flag(const json& value, bool& out) {
-    if (!value.is_boolean()) {
-        return false;
-    }
-    out = value.get<bool>();
-    return true;
-}
-
 bool read_report(const json& value, reader_report& out) {
     return value.is_array() && value.size() == report_fields && read_number(value[0], out.listing.revision) &&
            read_number(value[1], out.listing.digest) && read_number(value[2], out.configuration_revision) &&
@@ -115,16 +72,9 @@
 
 bool read_delta(const json& value, listing_delta& out) {
     return value.is_array() && value.size() == delta_fields && read_number(value[0], out.after_revision) &&
-           read_number(value[1], out.news.revision) && read_array(value[2], out.news.reports, read_entry) &&
-           read_array(value[3], out.news.removed, read_removed);
-}
-
-json to_json(const std::vector<endpoint>& sockets) {
-    json texts = json::array();
-    for (const auto& socket : sockets) {
-        texts.push_back(to_string(socket));
-    }
-    return texts;
+           read_number(value[1], out.news.revision) &&
+           read_array(value[2], most_accepted_entries, out.news.reports, read_entry) &&
+           read_array(value[3], most_accepted_entries, out.news.removed, read_removed);
 }
 
 json to_json(const roster_member& member) {
@@ -132,13 +82,6 @@
                         to_string(member.peer.admin), member.peer.failure_domain, member.incarnation});
 }
 
-bool read_socket(const json& value, endpoint& out) {
-    const auto parsed = value.is_string() ? parse_endpoint(value.get<std::string>())
-                                          : fail(error_kind::malformed, "no socket");
-    out = parsed.value_or(endpoint{});
-    return parsed.has_value();
-}
-
 bool read_introduction(const json& value, roster_member& out) {
     return value.is_array() && value.size() == introduction_fields &&
            read_socket(value[0], out.peer.address) && read_socket(value[1], out.peer.news) &&
@@ -171,11 +114,10 @@
     if (!value[2].is_null() && !read_introduction(value[2], message.introduction.emplace())) {
         return fail(error_kind::malformed, "an introduction is not [sockets, failure domain, incarnation]");
     }
-    const bool complete =
-        read_array(value[3], message.readers, read_socket) && message.readers.size() <= most_named_readers &&
-        read_number(value[4], message.expected_incarnation) &&
-        (value[5].is_null() || read_number(value[5], message.wants_after.emplace())) &&
-        read_array(value[6], message.pass_to, read_socket) && message.pass_to.size() <= most_passed_on;
+    const bool complete = read_array(value[3], most_named_readers, message.readers, read_socket) &&
+                          read_number(value[4], message.expected_incarnation) &&
+                          (value[5].is_null() || read_number(value[5], message.wants_after.emplace())) &&
+                          read_array(value[6], most_passed_on, message.pass_to, read_socket);
     if (!complete) {
         return fail(error_kind::malformed, "the sockets or numbers of a message cannot be read");
     }
--- a/libs/director/src/roster.cpp
+++ b/libs/director/src/roster.cpp
@@ -1,10 +1,9 @@
+#include "json_reading.hpp"
+
 #include <guavaramp/base/hash.hpp>
 #include <guavaramp/director/roster.hpp>
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
-#include <optional>
 
 namespace guavaramp {
 namespace {
@@ -19,27 +18,11 @@
                         to_string(member.peer.admin), member.incarnation});
 }
 
-std::optional<endpoint> read_endpoint(const json& value) {
-    if (!value.is_string()) {
-        return std::nullopt;
-    }
-    const auto parsed = parse_endpoint(value.get<std::string>());
-    return parsed ? std::optional{*parsed} : std::nullopt;
-}
-
-std::optional<roster_member> read_member(const json& value, const std::string& failure_domain) {
-    if (!value.is_array() || value.size() != member_fields || !value[3].is_number_unsigned()) {
-        return std::nullopt;
-    }
-    const auto address = read_endpoint(value[0]);
-    const auto news = read_endpoint(value[1]);
-    const auto admin = read_endpoint(value[2]);
-    if (!address || !news || !admin) {
-        return std::nullopt;
-    }
-    return roster_member{
-        .peer = {.address = *address, .news = *news, .admin = *admin, .failure_domain = failure_domain},
-        .incarnation = value[3].get<std::uint64_t>()};
+bool read_member(const json& value, const std::string& failure_domain, roster_member& out) {
+    out.peer.failure_domain = failure_domain;
+    return value.is_array() && value.size() == member_fields && read_socket(value[0], out.peer.address) &&
+           read_socket(value[1], out.peer.news) && read_socket(value[2], out.peer.admin) &&
+           read_number(value[3], out.incarnation);
 }
 
 }  // namespace
@@ -56,29 +39,18 @@
 }
 
 result<reader_entry> decode_reader_entry(std::string_view text) {
-    const auto malformed = [] {
-        return fail(error_kind::malformed, "a reader's entry lacks its failure domain, reader or members");
-    };
     const auto value = json::parse(text, nullptr, false);
-    const bool complete = value.is_object() && value.contains("failure_domain") &&
-                          value["failure_domain"].is_string() && value.contains("reader") &&
-                          value.contains("members") && value["members"].is_array() &&
-                          value["members"].size() <= most_members;
+    reader_entry entry;
+    std::string failure_domain;
+    const auto read = [&failure_domain](const json& from, roster_member& out) {
+        return read_member(from, failure_domain, out);
+    };
+    const bool complete = value.is_object() && value.contains("failure_domain") && value.contains("reader") &&
+                          value.contains("members") && read_text(value["failure_domain"], failure_domain) &&
+                          read(value["reader"], entry.reader) &&
+                          read_array(value["members"], most_members, entry.members, read);
     if (!complete) {
-        return malformed();
-    }
-    const auto failure_domain = value["failure_domain"].get<std::string>();
-    const auto reader = read_member(value["reader"], failure_domain);
-    if (!reader) {
-        return malformed();
-    }
-    reader_entry entry{.reader = *reader, .members = {}};
-    for (const auto& element : value["members"]) {
-        auto member = read_member(element, failure_domain);
-        if (!member) {
-            return malformed();
-        }
-        entry.members.push_back(*std::move(member));
+        return fail(error_kind::malformed, "a reader's entry lacks its failure domain, reader or members");
     }
     return entry;
 }
--- a/libs/director/src/store_sync.cpp
+++ b/libs/director/src/store_sync.cpp
@@ -21,12 +21,6 @@
     return (state.known || state.absent) && sync.covered_until != mono_time{};
 }
 
-/// Whether a director must read the listing in whole because others rely on it. A configuration that came
-/// from a cached answer is brought up to date by its watch.
-bool must_verify(const store_sync& sync, store_subject subject, bool verified) noexcept {
-    return sync.is_reader && subject == store_subject::listing && !verified;
-}
-
 /// Whether the listing came from cached answers, and no reader has confirmed it. Pages of different age can
 /// lack a change that is older than the newest one, so reading what has changed does not mend it.
 bool awaits_confirmation(const subject_sync& state, store_subject subject) noexcept {
@@ -51,14 +45,14 @@
     if (!is_covered(sync, state) || state.wanted) {
         return state.next_at;
     }
-    if (awaits_confirmation(state, subject) && !is_behind(state)) {
-        return std::max(state.next_at, std::min(state.read_at + confirmation_wait, sync.covered_until));
-    }
-    if (!is_behind(state)) {
-        return std::max(state.next_at, sync.covered_until);
+    auto news_do_until = sync.covered_until;
+    if (is_behind(state)) {
+        const auto patience = subject == store_subject::listing ? repair_wait : std::chrono::milliseconds{0};
+        news_do_until = std::min(news_do_until, state.behind_since + patience);
+    } else if (awaits_confirmation(state, subject)) {
+        news_do_until = std::min(news_do_until, state.read_at + confirmation_wait);
     }
-    const auto patience = subject == store_subject::listing ? repair_wait : std::chrono::milliseconds{0};
-    return std::max(state.next_at, std::min(state.behind_since + patience, sync.covered_until));
+    return std::max(state.next_at, news_do_until);
 }
 
 reading_kind next_kind(const store_sync& sync, store_subject subject, mono_time now) noexcept {
@@ -120,11 +114,13 @@
     const bool verified = whole || state.verified;
     const bool caught_up = reading.kind == reading_kind::catch_up;
     state = {.next_at = next_at,
-             .read_whole = must_verify(sync, reading.subject, verified),
+             .read_whole = false,
              .known = true,
              .catch_ups = caught_up ? state.catch_ups + 1 : 0,
              .read_at = state.known ? state.read_at : now,
              .verified = verified};
+    // A configuration that came from a cached answer is brought up to date by its watch.
+    state.read_whole = sync.is_reader && awaits_confirmation(state, reading.subject);
     if (sync.steady_since == mono_time::max()) {
         sync.steady_since = now;
     }
@@ -142,7 +138,7 @@
 void note_reader(store_sync& sync, bool is_reader, mono_time now) noexcept {
     sync.is_reader = is_reader;
     const auto& listing = sync_of(sync, store_subject::listing);
-    if (listing.known && !listing.reading && must_verify(sync, store_subject::listing, listing.verified)) {
+    if (is_reader && !listing.reading && awaits_confirmation(listing, store_subject::listing)) {
         want_whole(sync, store_subject::listing, now);
     }
 }
