--- a/review/3/case.py
+++ b/review/3/case.py
@@ -18,6 +18,7 @@
 DRAIN_S = 3.0            # bound `drain-ms`
 NEW_FLOWS_PER_S = 240
 KILL_AFTER_S = 1.93      # after the host reported that it is draining
+DOWN_S = 1.9             # how long the killed directors stay down; the site file's herd_kill has 2.0
 ROUNDS = 6
 
 
@@ -111,12 +112,12 @@
         for director in readers:
             director.send_signal(stand_ins.signal.SIGKILL)
         world.record.line("DISRUPTION: both are killed")
-    await asyncio.sleep(3.0)
+    await asyncio.sleep(DOWN_S)
     for director in readers if world.trouble else []:
         director.partition.cut = False
         director.start()
         director.disturbed_until = time.monotonic()
-    await asyncio.sleep(4.0)
+    await asyncio.sleep(5.1)
     old.stop()
     world.store.delete(old.key)
     return True
