Log the evidence of each decision that an upstream has stalled

Why: the log named a reset's reason, upstream_stalled, and nothing of what the decision rested on. It could not tell a host that hangs from one whose slots hold long requests, from answers that were acknowledged through another director, or from a director whose own path is late. Change: upstream_stalled names the overdue requests, how long the first has waited, the age of the host's last answer and its mean answer time; upstream_stall_ended tells when the host answers after all. Counter upstreams_stalled_total. No decision changes.

--- a/apps/director/control_thread.cpp
+++ b/apps/director/control_thread.cpp
@@ -192,6 +192,10 @@
         while (context_.probe_records.pop(probe)) {
             log_record(probe);
         }
+        stall_record stall;
+        while (context_.stall_records.pop(stall)) {
+            log_record(stall);
+        }
     }
 
     void log_record(const decision_record& decided, mono_time time) {
@@ -215,6 +219,21 @@
                   {{"upstream", store_.upstream_name(steering_tag{probe.tag})}, {"probe", outcome}});
     }
 
+    void log_record(const stall_record& stall) {
+        const auto upstream = store_.upstream_name(steering_tag{stall.tag});
+        if (stall.ended) {
+            log_event(log_level::info, "upstream_stall_ended",
+                      {{"upstream", upstream}, {"stalled_for_ms", std::to_string(stall.stalled_for_ms)}});
+            return;
+        }
+        log_event(log_level::warning, "upstream_stalled",
+                  {{"upstream", upstream},
+                   {"overdue_requests", std::to_string(stall.overdue_requests)},
+                   {"unanswered_ms", std::to_string(stall.unanswered_ms)},
+                   {"last_answer_age_ms", std::to_string(stall.last_answer_age_ms)},
+                   {"mean_answer_ms", std::to_string(stall.mean_answer_ms)}});
+    }
+
     director_context& context_;
     asio::io_context io_{1};
     store_synchronizer store_;
--- a/apps/director/director_context.hpp
+++ b/apps/director/director_context.hpp
@@ -36,6 +36,18 @@
     bool reachability_changed{false};  ///< the result made the upstream reachable or unreachable
 };
 
+/// A decision that an upstream has stalled, or that a stall has ended, which the packet thread passes to the
+/// control thread for the log.
+struct stall_record {
+    std::uint32_t tag{0};
+    bool ended{false};                    ///< the upstream has answered a request again
+    std::uint32_t stalled_for_ms{0};      ///< time since the decision that it had stalled, if `ended`
+    std::uint32_t overdue_requests{0};    ///< consecutive ones, unless `ended`
+    std::uint32_t unanswered_ms{0};       ///< how long the first of these has waited
+    std::uint32_t last_answer_age_ms{0};  ///< time since the upstream's last answer to any flow
+    std::uint32_t mean_answer_ms{0};      ///< moving average of its answer times; 0 if none was seen
+};
+
 /// Capacity of each queue of log records from the packet thread to the control thread; further records are
 /// counted as lost. Holds at least one second of a daemon's decisions at the design size (85 new flows and as
 /// many requests per second).
@@ -62,6 +74,7 @@
         neighbour;  ///< packet address; used while this director cannot decide packets
     spsc_ring<decision_record> decision_records{log_ring_capacity};
     spsc_ring<probe_record> probe_records{log_ring_capacity};
+    spsc_ring<stall_record> stall_records{log_ring_capacity};
     std::atomic<bool> listing_refresh_requested{
         false};  ///< a packet has a tag that only a newer listing may explain
     std::atomic<bool> planned_stop_started{false};  ///< readiness checks fail from now on
--- a/apps/director/packet_thread.cpp
+++ b/apps/director/packet_thread.cpp
@@ -5,6 +5,7 @@
 
 #include <guavaramp/base/hash.hpp>
 #include <guavaramp/base/suspension.hpp>
+#include <guavaramp/director/age.hpp>
 #include <guavaramp/director/held_packets.hpp>
 #include <guavaramp/net/tcp_prober.hpp>
 #include <guavaramp/net/udp_socket.hpp>
@@ -229,6 +230,9 @@
         }
         if (decided.observation) {
             observations_.send_to_all(std::span{&*decided.observation, 1}, time);
+            if (decided.observation->kind == host_observation_kind::cleared) {
+                queue_stall_end_record(decided.observation->tag, time);
+            }
         }
         record_decision(packet, decided, bytes, time);
     }
@@ -263,8 +267,10 @@
             start_probe(*suspect, time);
         }
         observations_.send_to_all(due.observations, time);
-        for (const auto stalled : due.stalled) {
-            reset_upstream_flows(stalled, decision_reason::upstream_stalled, time);
+        for (const auto& stalled : due.stalled) {
+            upstreams_stalled_.add();
+            queue_stall_record(stalled, time);
+            reset_upstream_flows(stalled.tag, decision_reason::upstream_stalled, time);
         }
         socket_.flush();
     }
@@ -367,6 +373,26 @@
         }
     }
 
+    void queue_stall_record(const stall_evidence& evidence, mono_time time) {
+        const stall_record record{.tag = static_cast<std::uint32_t>(evidence.tag),
+                                  .overdue_requests = evidence.overdue_requests,
+                                  .unanswered_ms = age_ms(evidence.unanswered_since, time),
+                                  .last_answer_age_ms = age_ms(evidence.last_answer_at, time),
+                                  .mean_answer_ms = static_cast<std::uint32_t>(evidence.mean_answer_ms)};
+        if (!context_.stall_records.push(record)) {
+            records_lost_.add();
+        }
+    }
+
+    void queue_stall_end_record(steering_tag tag, mono_time time) {
+        const stall_record record{.tag = static_cast<std::uint32_t>(tag),
+                                  .ended = true,
+                                  .stalled_for_ms = age_ms(health_of(state_, tag).stalled_at, time)};
+        if (!context_.stall_records.push(record)) {
+            records_lost_.add();
+        }
+    }
+
     void run_housekeeping() {
         const auto time = now();
         next_housekeeping_at_ = time + housekeeping_period;
@@ -427,6 +453,8 @@
     latency_histogram& answer_times_{context_.counters.get_latency_histogram(
         "answer_seconds", "Time from a caller's request to its first acknowledgement of the answer")};
     counter& probes_started_{context_.counters.get("probes_total", "TCP probes of suspected upstreams")};
+    counter& upstreams_stalled_{context_.counters.get(
+        "upstreams_stalled_total", "Decisions that an upstream accepts connections and answers no request")};
     counter& moved_opens_{context_.counters.get(
         "opens_moved_total", "Unanswered opening packets that were sent to another upstream")};
     counter& records_lost_{context_.counters.get("log_records_lost_total", "Decisions that were not logged")};
--- a/libs/director/include/guavaramp/director/director.hpp
+++ b/libs/director/include/guavaramp/director/director.hpp
@@ -193,12 +193,23 @@
     std::vector<std::byte> packet;
 };
 
+/// What a decision that a host has stalled rests on, for log lines.
+struct stall_evidence {
+    steering_tag tag{no_tag};
+    std::uint32_t overdue_requests{0};  ///< consecutive ones, of all directors of the failure domain
+    mono_time unanswered_since{};       ///< send time of the first of these requests
+    mono_time last_answer_at{};         ///< last answer of the host to any flow; the epoch if there was none
+    double mean_answer_ms{0};           ///< moving average of the host's answer times; 0 if none was seen
+
+    friend bool operator==(const stall_evidence&, const stall_evidence&) = default;
+};
+
 /// The actions that expired timeouts require. Pointers point into the view.
 struct timeout_actions {
     std::vector<retried_open> retried_opens;
     std::vector<const known_upstream*> probes;   ///< upstreams to probe now
     std::vector<host_observation> observations;  ///< to be sent to all directors of the failure domain
-    std::vector<steering_tag> stalled;           ///< upstreams that accept connections and answer no request
+    std::vector<stall_evidence> stalled;         ///< upstreams that accept connections and answer no request
 };
 
 /// Handles opening packets and requests that have waited for an answer longer than a healthy host takes, and
--- a/libs/director/src/timeouts.cpp
+++ b/libs/director/src/timeouts.cpp
@@ -47,6 +47,16 @@
     return entry != nullptr && entry->unanswered_since == pending.sent_at ? entry : nullptr;
 }
 
+/// Returns the evidence that the host with `tag` has stalled. To be called before `record_stall`, which
+/// clears it.
+stall_evidence evidence_of(const host_health& health, steering_tag tag) noexcept {
+    return {.tag = tag,
+            .overdue_requests = health.overdue_requests,
+            .unanswered_since = health.first_overdue_sent_at,
+            .last_answer_at = health.last_answer_at,
+            .mean_answer_ms = health.answer_time_ms};
+}
+
 void add_probe(const fleet_view& view, steering_tag tag, timeout_actions& actions) {
     const auto* suspect = view.upstreams == nullptr ? nullptr : find_by_tag(*view.upstreams, tag);
     if (suspect != nullptr) {
@@ -222,9 +232,10 @@
         const auto tag = state.stall_checks.front().tag;
         state.stall_checks.pop_front();
         if (auto& health = health_of(state, tag); is_stalled(health, now) && is_path_clear(state, now)) {
+            const auto evidence = evidence_of(health, tag);
             record_stall(health, trial_jitter(state, tag), now);
             if (state.mechanisms.is_enabled(mechanism::stall_reset)) {
-                actions.stalled.push_back(tag);
+                actions.stalled.push_back(evidence);
             }
         }
     }
