Reset the flows of a stalled host only after the time limit of its requests

What callers saw: open flows of a host that lives and works were reset 0.9 s after their requests were sent. Cause: "answers nothing" was taken for "hangs" after 900 ms, a constant that stood for the longest request. How long a request may take is set for each service by the operator; a host whose slots all hold such requests answers nothing for as long. The reset and the avoidance of the host rested on the same evidence, though only the reset takes something from callers. The host had answered no other director, and answers of other hosts came in time, so neither flows that have moved nor this director's own path explain it. Change: three overdue requests over 900 ms still make new flows avoid the host, which ends with its next answer. Its open flows are reset only when it has answered nothing on any flow for the longest time limit of the routes to its service (route::time_limit, 10 s if none is configured), counted from the first of these requests, and when no other director objects then. A newer configuration that raises the limit postpones the reset. Why it works: a request that outlives its time limit is worth nothing to its caller, and no request that a living host may hold takes longer.

--- a/apps/director/control_thread.cpp
+++ b/apps/director/control_thread.cpp
@@ -221,16 +221,18 @@
 
     void log_record(const stall_record& stall) {
         const auto upstream = store_.upstream_name(steering_tag{stall.tag});
-        if (stall.ended) {
+        if (stall.event == stall_event::ended) {
             log_event(log_level::info, "upstream_stall_ended",
                       {{"upstream", upstream}, {"stalled_for_ms", std::to_string(stall.stalled_for_ms)}});
             return;
         }
         log_event(log_level::warning, "upstream_stalled",
                   {{"upstream", upstream},
+                   {"action", stall.event == stall_event::avoided ? "avoided" : "flows_reset"},
                    {"overdue_requests", std::to_string(stall.overdue_requests)},
                    {"unanswered_ms", std::to_string(stall.unanswered_ms)},
-                   {"last_answer_age_ms", std::to_string(stall.last_answer_age_ms)},
+                   {"last_answer_age_ms",
+                    stall.last_answer_age_ms ? std::to_string(*stall.last_answer_age_ms) : "none"},
                    {"mean_answer_ms", std::to_string(stall.mean_answer_ms)}});
     }
 
--- a/apps/director/director_context.hpp
+++ b/apps/director/director_context.hpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,16 +37,22 @@
     bool reachability_changed{false};  ///< the result made the upstream reachable or unreachable
 };
 
-/// A decision that an upstream has stalled, or that a stall has ended, which the packet thread passes to the
-/// control thread for the log.
+enum class stall_event : std::uint8_t {
+    avoided,      ///< the upstream has stalled, and new flows avoid it
+    flows_reset,  ///< it has answered nothing for longer than a request may take, and its flows were reset
+    ended         ///< it has answered a request again
+};
+
+/// A decision about a stalled upstream that the packet thread passes to the control thread, which logs it.
 struct stall_record {
     std::uint32_t tag{0};
-    bool ended{false};                    ///< the upstream has answered a request again
-    std::uint32_t stalled_for_ms{0};      ///< time since the decision that it had stalled, if `ended`
-    std::uint32_t overdue_requests{0};    ///< consecutive ones, unless `ended`
-    std::uint32_t unanswered_ms{0};       ///< how long the first of these has waited
-    std::uint32_t last_answer_age_ms{0};  ///< time since the upstream's last answer to any flow
-    std::uint32_t mean_answer_ms{0};      ///< moving average of its answer times; 0 if none was seen
+    stall_event event{stall_event::avoided};
+    std::uint32_t stalled_for_ms{0};    ///< time since it was avoided; only for `stall_event::ended`
+    std::uint32_t overdue_requests{0};  ///< consecutive ones
+    std::uint32_t unanswered_ms{0};     ///< how long the first of these has waited
+    /// Time since the upstream's last answer to any flow; none if it has answered nothing here.
+    std::optional<std::uint32_t> last_answer_age_ms;
+    std::uint32_t mean_answer_ms{0};  ///< moving average of its answer times; 0 if none was seen
 };
 
 /// Capacity of each queue of log records from the packet thread to the control thread; further records are
--- a/apps/director/packet_thread.cpp
+++ b/apps/director/packet_thread.cpp
@@ -267,10 +267,14 @@
             start_probe(*suspect, time);
         }
         observations_.send_to_all(due.observations, time);
-        for (const auto& stalled : due.stalled) {
+        for (const auto& evidence : due.stalled) {
             upstreams_stalled_.add();
-            queue_stall_record(stalled, time);
-            reset_upstream_flows(stalled.tag, decision_reason::upstream_stalled, time);
+            queue_stall_record(stall_event::avoided, evidence, time);
+        }
+        for (const auto& evidence : due.unresponsive) {
+            upstreams_unresponsive_.add();
+            queue_stall_record(stall_event::flows_reset, evidence, time);
+            reset_upstream_flows(evidence.tag, decision_reason::upstream_stalled, time);
         }
         socket_.flush();
     }
@@ -373,12 +377,16 @@
         }
     }
 
-    void queue_stall_record(const stall_evidence& evidence, mono_time time) {
-        const stall_record record{.tag = static_cast<std::uint32_t>(evidence.tag),
-                                  .overdue_requests = evidence.overdue_requests,
-                                  .unanswered_ms = age_ms(evidence.unanswered_since, time),
-                                  .last_answer_age_ms = age_ms(evidence.last_answer_at, time),
-                                  .mean_answer_ms = static_cast<std::uint32_t>(evidence.mean_answer_ms)};
+    void queue_stall_record(stall_event event, const stall_evidence& evidence, mono_time time) {
+        const bool has_answered = evidence.last_answer_at != mono_time{};
+        const stall_record record{
+            .tag = static_cast<std::uint32_t>(evidence.tag),
+            .event = event,
+            .overdue_requests = evidence.overdue_requests,
+            .unanswered_ms = age_ms(evidence.unanswered_since, time),
+            .last_answer_age_ms =
+                has_answered ? std::optional{age_ms(evidence.last_answer_at, time)} : std::nullopt,
+            .mean_answer_ms = static_cast<std::uint32_t>(evidence.mean_answer_ms)};
         if (!context_.stall_records.push(record)) {
             records_lost_.add();
         }
@@ -386,7 +394,7 @@
 
     void queue_stall_end_record(steering_tag tag, mono_time time) {
         const stall_record record{.tag = static_cast<std::uint32_t>(tag),
-                                  .ended = true,
+                                  .event = stall_event::ended,
                                   .stalled_for_ms = age_ms(health_of(state_, tag).stalled_at, time)};
         if (!context_.stall_records.push(record)) {
             records_lost_.add();
@@ -454,7 +462,11 @@
         "answer_seconds", "Time from a caller's request to its first acknowledgement of the answer")};
     counter& probes_started_{context_.counters.get("probes_total", "TCP probes of suspected upstreams")};
     counter& upstreams_stalled_{context_.counters.get(
-        "upstreams_stalled_total", "Decisions that an upstream accepts connections and answers no request")};
+        "upstreams_stalled_total", "Decisions that an upstream accepts connections and answers no request",
+        "avoided")};
+    counter& upstreams_unresponsive_{context_.counters.get(
+        "upstreams_stalled_total", "Decisions that an upstream accepts connections and answers no request",
+        "flows_reset")};
     counter& moved_opens_{context_.counters.get(
         "opens_moved_total", "Unanswered opening packets that were sent to another upstream")};
     counter& records_lost_{context_.counters.get("log_records_lost_total", "Decisions that were not logged")};
--- a/libs/director/include/guavaramp/director/director.hpp
+++ b/libs/director/include/guavaramp/director/director.hpp
@@ -116,6 +116,27 @@
     mono_time due_at{};
 };
 
+/// What a decision that a host has stalled rests on.
+struct stall_evidence {
+    steering_tag tag{no_tag};
+    std::uint32_t overdue_requests{0};  ///< consecutive ones, of all directors of the failure domain
+    mono_time unanswered_since{};       ///< send time of the first of these requests
+    mono_time last_answer_at{};         ///< last answer of the host to any flow; the epoch if there was none
+    double mean_answer_ms{0};           ///< moving average of the host's answer times; 0 if none was seen
+
+    friend bool operator==(const stall_evidence&, const stall_evidence&) = default;
+};
+
+/// The flows of a host that has stalled, which are reset at `due_at` unless the host answers a request
+/// before.
+struct pending_stall_reset {
+    stall_evidence evidence;
+    mono_time due_at{};
+    /// Other directors were asked whether the host has answered them; the flows are reset if none objects
+    /// until `due_at`.
+    bool asked_for_objections{false};
+};
+
 /// The subset of the upstreams of its failure domain that this director compares for new flows: number
 /// `index` of `count` subsets, one for each director of the failure domain once these are known. Each
 /// director compares a different part of the list, so that they do not all choose the same idle upstreams.
@@ -159,9 +180,10 @@
     /// Requests that passed the deadline in `pending_requests` without an answer and that become overdue at
     /// `due_at`; ordered by `due_at`.
     std::deque<pending_request> slow_requests;
-    std::deque<stall_check> stall_checks;  ///< ordered by `due_at`
-    mono_time last_answer_at{};            ///< time of the last answer of any host
-    double recent_answer_ms{0};            ///< moving average over the last few answers of all hosts
+    std::deque<stall_check> stall_checks;                   ///< ordered by `due_at`
+    std::vector<pending_stall_reset> pending_stall_resets;  ///< one for each host at most; not ordered
+    mono_time last_answer_at{};                             ///< time of the last answer of any host
+    double recent_answer_ms{0};  ///< moving average over the last few answers of all hosts
 };
 
 /// Returns whether `view` contains enough for a verdict on `packet`. A packet of an open flow needs only a
@@ -193,23 +215,15 @@
     std::vector<std::byte> packet;
 };
 
-/// What a decision that a host has stalled rests on, for log lines.
-struct stall_evidence {
-    steering_tag tag{no_tag};
-    std::uint32_t overdue_requests{0};  ///< consecutive ones, of all directors of the failure domain
-    mono_time unanswered_since{};       ///< send time of the first of these requests
-    mono_time last_answer_at{};         ///< last answer of the host to any flow; the epoch if there was none
-    double mean_answer_ms{0};           ///< moving average of the host's answer times; 0 if none was seen
-
-    friend bool operator==(const stall_evidence&, const stall_evidence&) = default;
-};
-
 /// The actions that expired timeouts require. Pointers point into the view.
 struct timeout_actions {
     std::vector<retried_open> retried_opens;
     std::vector<const known_upstream*> probes;   ///< upstreams to probe now
     std::vector<host_observation> observations;  ///< to be sent to all directors of the failure domain
-    std::vector<stall_evidence> stalled;         ///< upstreams that accept connections and answer no request
+    std::vector<stall_evidence> stalled;         ///< upstreams that have stalled, which new flows avoid
+    /// Upstreams that have stalled and have answered no request for longer than one may take. Their open
+    /// flows are to be reset.
+    std::vector<stall_evidence> unresponsive;
 };
 
 /// Handles opening packets and requests that have waited for an answer longer than a healthy host takes, and
@@ -236,7 +250,7 @@
 };
 
 /// Removes the established flows of an upstream from the flow cache and returns their resets. To be called
-/// when the upstream has become unreachable or has stalled: its callers then get the reset before they send
+/// when the upstream has become unreachable or unresponsive: its callers then get the reset before they send
 /// their next request, which they could not safely repeat. Not thread-safe.
 [[nodiscard]] std::vector<flow_reset> remove_flows_of(director_state& state, steering_tag tag);
 
--- a/libs/director/include/guavaramp/director/host_health.hpp
+++ b/libs/director/include/guavaramp/director/host_health.hpp
@@ -25,12 +25,13 @@
 /// retransmission.
 inline constexpr auto avoidance_after_silence = std::chrono::milliseconds{3000};
 
-/// Number of consecutive overdue requests that show that a host has stalled, which means that it accepts
-/// connections and answers no request. One or two overdue requests can be requests whose flows moved to
+/// Number of consecutive overdue requests from which on a host counts as stalled, which means that it accepts
+/// connections and answers no request. New flows avoid a stalled host. Its open flows stay, because its slots
+/// may hold long requests; they are reset when the host has answered nothing for as long as a request may
+/// take, see `pending_stall_reset`. One or two overdue requests can be requests whose flows moved to
 /// another director, so that this director does not see the acknowledgements of their answers.
 inline constexpr std::uint32_t min_overdue_requests_of_stall = 3;
-/// Least time from sending the first of these requests to the decision that the host has stalled. It exceeds
-/// the longest answer time of a slow host with cold caches and a full queue, about 700 ms.
+/// Least time from sending the first of these requests to the decision that the host has stalled.
 inline constexpr auto min_stall_time = std::chrono::milliseconds{900};
 /// An overdue request belongs to the same stall only if it is recorded within this time after the first one
 /// was sent.
--- a/libs/director/include/guavaramp/director/routes.hpp
+++ b/libs/director/include/guavaramp/director/routes.hpp
@@ -26,10 +26,15 @@
     std::vector<weighted_service> targets;
     std::uint32_t priority{0};               ///< 0 is the most urgent
     std::chrono::milliseconds objective{0};  ///< answers that take longer are late; 0 if not configured
+    /// Callers give up a request that takes longer; 0 if not configured.
+    std::chrono::milliseconds time_limit{0};
 
     friend bool operator==(const route&, const route&) = default;
 };
 
+/// Time limit of a route that configures none.
+inline constexpr auto default_time_limit = std::chrono::milliseconds{10000};
+
 /// A version of the operator's configuration that was accepted.
 struct route_configuration {
     std::uint64_t version{0};
@@ -46,6 +51,8 @@
     std::uint64_t version{0};
     std::int64_t idle_timeout_ms{0};
     std::unordered_map<std::uint64_t, route> by_endpoint;
+    /// The longest time limit of the routes to each service, by the service's name.
+    std::unordered_map<std::string, std::chrono::milliseconds> time_limit_by_service;
 };
 
 /// Returns the index of `configuration`. If two routes have the same address and port, the first is kept.
@@ -55,6 +62,12 @@
 /// Returns the route for the service address and port of `flow`, or null if there is none. Thread-safe.
 [[nodiscard]] const route* find_route(const route_table& table, const flow_tuple& flow) noexcept;
 
+/// Returns how long a request to a host of `service` may take: the longest time limit of the routes to it, or
+/// `default_time_limit` if there is no route to it. A host whose slots all hold such requests answers nothing
+/// for as long. Thread-safe.
+[[nodiscard]] std::chrono::milliseconds time_limit_of_service(const route_table& table,
+                                                              const std::string& service) noexcept;
+
 /// Returns the services of `matched` in the order in which a new flow tries them. The first one is drawn by
 /// weight from `flow_hash`, so that copies of an opening packet get the same one at every director. The other
 /// services with a weight above 0 follow in the configured order. Thread-safe.
--- a/libs/director/src/director.cpp
+++ b/libs/director/src/director.cpp
@@ -388,6 +388,7 @@
     state.pending_requests.clear();
     state.slow_requests.clear();
     state.stall_checks.clear();
+    state.pending_stall_resets.clear();
     state.unknown_tags.clear();
     record_pause(state, now);
 }
--- a/libs/director/src/routes.cpp
+++ b/libs/director/src/routes.cpp
@@ -1,5 +1,7 @@
 #include <guavaramp/director/routes.hpp>
 
+#include <algorithm>
+
 namespace guavaramp {
 namespace {
 
@@ -20,14 +22,27 @@
 route_table make_route_table(const route_configuration& configuration) {
     route_table table{.version = configuration.version,
                       .idle_timeout_ms = configuration.idle_timeout_ms,
-                      .by_endpoint = {}};
+                      .by_endpoint = {},
+                      .time_limit_by_service = {}};
     table.by_endpoint.reserve(configuration.routes.size());
     for (const auto& configured : configuration.routes) {
         table.by_endpoint.emplace(endpoint_key(configured.address, configured.port), configured);
+        const bool is_limited = configured.time_limit > std::chrono::milliseconds{0};
+        const auto time_limit = is_limited ? configured.time_limit : default_time_limit;
+        for (const auto& target : configured.targets) {
+            auto& longest = table.time_limit_by_service[target.service];
+            longest = std::max(longest, time_limit);
+        }
     }
     return table;
 }
 
+std::chrono::milliseconds time_limit_of_service(const route_table& table,
+                                                const std::string& service) noexcept {
+    const auto found = table.time_limit_by_service.find(service);
+    return found == table.time_limit_by_service.end() ? default_time_limit : found->second;
+}
+
 const route* find_route(const route_table& table, const flow_tuple& flow) noexcept {
     const auto found = table.by_endpoint.find(endpoint_key(flow.service_address, flow.service_port));
     return found == table.by_endpoint.end() ? nullptr : &found->second;
--- a/libs/director/src/timeouts.cpp
+++ b/libs/director/src/timeouts.cpp
@@ -13,8 +13,7 @@
 constexpr auto reference_validity = std::chrono::milliseconds{1000};
 /// Limit of the hosts that an opening packet is sent to before the caller retransmits it.
 constexpr std::uint32_t max_hosts_tried = 3;
-/// A request that has waited this long, while its host answered no flow, is overdue. This is longer than the
-/// longest request takes.
+/// A request that has waited this long, while its host answered no flow, is overdue.
 constexpr auto overdue_timeout = std::chrono::milliseconds{400};
 /// Time that other directors get to object because the host answers them: ten round trips inside a failure
 /// domain.
@@ -109,6 +108,76 @@
     return true;
 }
 
+/// Returns the time at which the flows of a host that has answered no request since `unanswered_since` may be
+/// reset: no request that was sent to it before then is still worth an answer.
+mono_time stall_reset_due_at(const fleet_view& view, steering_tag tag, mono_time unanswered_since) {
+    const auto* known = find_by_tag(*view.upstreams, tag);
+    const auto time_limit = known == nullptr || view.routes == nullptr
+                                ? default_time_limit
+                                : time_limit_of_service(*view.routes, known->report.service);
+    return unanswered_since + std::max<mono_time::duration>(time_limit, min_stall_time);
+}
+
+void schedule_stall_reset(director_state& state, const fleet_view& view, const stall_evidence& evidence) {
+    auto& pending = state.pending_stall_resets;
+    const bool is_scheduled = std::ranges::any_of(pending, [&evidence](const pending_stall_reset& other) {
+        return other.evidence.tag == evidence.tag &&
+               evidence.last_answer_at <= other.evidence.unanswered_since;
+    });
+    if (is_scheduled) {
+        return;
+    }
+    std::erase_if(pending, [&evidence](const pending_stall_reset& other) {
+        return other.evidence.tag == evidence.tag;
+    });
+    pending.push_back(
+        {.evidence = evidence, .due_at = stall_reset_due_at(view, evidence.tag, evidence.unanswered_since)});
+}
+
+/// Handles a pending reset that is due. Returns whether it is done. First asks the other directors for
+/// objections, as an overdue request does; if the host has answered none of them either, adds it to
+/// `actions.unresponsive`.
+bool handle_stall_reset(director_state& state, const fleet_view& view, pending_stall_reset& pending,
+                        mono_time now, timeout_actions& actions) {
+    const auto& evidence = pending.evidence;
+    const bool is_answered = health_of(state, evidence.tag).last_answer_at > evidence.unanswered_since;
+    if (is_answered || load_of(state.flows, evidence.tag).open_flows == 0) {
+        return true;
+    }
+    const auto due_at = stall_reset_due_at(view, evidence.tag, evidence.unanswered_since);
+    if (due_at > now) {  // a newer configuration has raised the time limit
+        pending.due_at = due_at;
+        pending.asked_for_objections = false;
+        return false;
+    }
+    if (!is_path_clear(state, now)) {
+        pending.due_at = now + objection_timeout;
+        pending.asked_for_objections = false;
+        return false;
+    }
+    if (pending.asked_for_objections) {
+        actions.unresponsive.push_back(evidence);
+        return true;
+    }
+    actions.observations.push_back({.kind = host_observation_kind::overdue,
+                                    .tag = evidence.tag,
+                                    .age_ms = age_ms(evidence.unanswered_since, now)});
+    pending.due_at = now + objection_timeout;
+    pending.asked_for_objections = true;
+    return false;
+}
+
+void handle_stall_resets(director_state& state, const fleet_view& view, mono_time now,
+                         timeout_actions& actions) {
+    std::vector<pending_stall_reset> still_pending;
+    for (auto& pending : state.pending_stall_resets) {
+        if (pending.due_at > now || !handle_stall_reset(state, view, pending, now, actions)) {
+            still_pending.push_back(pending);
+        }
+    }
+    state.pending_stall_resets = std::move(still_pending);
+}
+
 /// Handles the observation that another director's probe of `suspect` failed. The host is probed from here if
 /// flows to it are open at this director; otherwise new flows avoid it for a while.
 observation_effect handle_unreachable_observation(director_state& state, const known_upstream& suspect,
@@ -191,6 +260,9 @@
     if (!state.stall_checks.empty()) {
         otherwise = std::min(otherwise, state.stall_checks.front().due_at);
     }
+    for (const auto& pending : state.pending_stall_resets) {
+        otherwise = std::min(otherwise, pending.due_at);
+    }
     return otherwise;
 }
 
@@ -234,11 +306,13 @@
         if (auto& health = health_of(state, tag); is_stalled(health, now) && is_path_clear(state, now)) {
             const auto evidence = evidence_of(health, tag);
             record_stall(health, trial_jitter(state, tag), now);
+            actions.stalled.push_back(evidence);
             if (state.mechanisms.is_enabled(mechanism::stall_reset)) {
-                actions.stalled.push_back(evidence);
+                schedule_stall_reset(state, view, evidence);
             }
         }
     }
+    handle_stall_resets(state, view, now, actions);
     return actions;
 }
 
--- a/libs/director/tests/routes_test.cpp
+++ b/libs/director/tests/routes_test.cpp
@@ -29,6 +29,26 @@
     CHECK(services_in_order(make_split_route(0, 0), 42).empty());
 }
 
+// Guards against a host that is given up after the time limit of one route while its slots hold requests of
+// another route.
+TEST_CASE("RoutesTest.ReturnsTheLongestTimeLimitOfTheRoutesToAService") {
+    using std::chrono::milliseconds;
+    auto feed = make_split_route(90, 10);
+    feed.time_limit = milliseconds{2000};
+    auto sheets = make_split_route(0, 1);
+    sheets.port = 8444;
+    sheets.time_limit = milliseconds{8000};
+    sheets.targets.erase(sheets.targets.begin());
+    auto unlimited = make_split_route(1, 0);
+    unlimited.port = 8445;
+    unlimited.targets = {{.service = "records"}};
+    const auto table = make_route_table({.version = 1, .routes = {feed, sheets, unlimited}});
+    CHECK(time_limit_of_service(table, "workshop") == milliseconds{2000});
+    CHECK(time_limit_of_service(table, "archive") == milliseconds{8000});
+    CHECK(time_limit_of_service(table, "records") == default_time_limit);
+    CHECK(time_limit_of_service(table, "unknown") == default_time_limit);
+}
+
 TEST_CASE("RoutesTest.DrawsServicesByWeight") {
     const auto split = make_split_route(90, 10);
     std::map<std::string, int> drawn;
