Keep a draining host's flows while its last request may still run

A draining host stops listening before it sends its last answers. Its open flows were reset after two refused probes 400 ms apart, "longer than the longest request takes". Cause: a constant stood for the longest request of each service. Change: while the host is listed, the refusals must span the longest time limit of the routes to its service; it is probed each 400 ms meanwhile. An entry is removed when its host has left, so for an unlisted host 400 ms stay enough, and callers learn of its end as soon as before. The earlier tests of draining hosts pass the 400 ms that they were written for. Not shown with processes; the longer wait costs callers whose draining host crashes while it is listed.

--- a/apps/director/packet_thread.cpp
+++ b/apps/director/packet_thread.cpp
@@ -330,9 +330,12 @@
             const bool has_listing = view_ != nullptr && view_->upstreams != nullptr;
             const auto* known =
                 has_listing ? find_by_tag(*view_->upstreams, steering_tag{finished.key}) : nullptr;
-            const bool draining = known != nullptr && known->report.phase == upstream_phase::draining;
-            (draining ? record_draining_probe_ended : record_probe_ended)(health, outcome, finished.started,
-                                                                          time);
+            if (known != nullptr && known->report.phase == upstream_phase::draining) {
+                record_draining_probe_ended(health, outcome, finished.started,
+                                            refusal_interval_of(*view_, *known), time);
+            } else {
+                record_probe_ended(health, outcome, finished.started, time);
+            }
             const probe_record record{.tag = finished.key,
                                       .outcome = outcome,
                                       .reachability_changed = health.last_probe_failed != was_unreachable};
--- a/libs/director/include/guavaramp/director/director.hpp
+++ b/libs/director/include/guavaramp/director/director.hpp
@@ -243,6 +243,13 @@
 [[nodiscard]] observation_effect handle_observation(director_state& state, const fleet_view& view,
                                                     const host_observation& observation, mono_time now);
 
+/// Returns the least time between two refused probes that show that `upstream` has ended. A draining host
+/// stops listening before it sends its last answers, so while it is listed this is as long as a request to it
+/// may take. An entry is removed when its host has left, so an unlisted upstream needs less evidence.
+/// Thread-safe.
+[[nodiscard]] std::chrono::milliseconds refusal_interval_of(const fleet_view& view,
+                                                            const known_upstream& upstream) noexcept;
+
 /// A flow to be reset, with the sequence number that makes the caller accept the RST.
 struct flow_reset {
     flow_tuple flow;
--- a/libs/director/include/guavaramp/director/host_health.hpp
+++ b/libs/director/include/guavaramp/director/host_health.hpp
@@ -39,8 +39,7 @@
 /// Longest time for which new flows avoid a host that has stalled repeatedly, without the jitter.
 inline constexpr auto max_avoidance = std::chrono::milliseconds{24000};
 
-/// Time between the two refused probes that show that a draining host has ended. A draining host stops
-/// listening shortly before it sends its last answers, so this is longer than the longest request takes.
+/// Time between the probes of a draining host that has refused one.
 inline constexpr auto draining_refusal_interval = std::chrono::milliseconds{400};
 
 /// Longest time for the trial of a host that has stalled (the half-open state of a circuit breaker). One flow
@@ -141,10 +140,10 @@
                         mono_time now) noexcept;
 
 /// Records the outcome of a probe of a draining host. A refusal counts as a failed probe only if the host
-/// refuses another probe at least `draining_refusal_interval` after the first refusal; otherwise this works
-/// like `record_probe_ended`. Not thread-safe.
+/// refuses another probe at least `refusal_interval` after the first refusal, without progress in between;
+/// otherwise this works like `record_probe_ended`. Not thread-safe.
 void record_draining_probe_ended(host_health& health, probe_outcome outcome, mono_time started_at,
-                                 mono_time now) noexcept;
+                                 std::chrono::milliseconds refusal_interval, mono_time now) noexcept;
 
 /// Returns whether the host counts as unreachable at `now`, so that its open flows cannot continue. Not
 /// thread-safe.
--- a/libs/director/src/host_health.cpp
+++ b/libs/director/src/host_health.cpp
@@ -124,13 +124,13 @@
 }
 
 void record_draining_probe_ended(host_health& health, probe_outcome outcome, mono_time started_at,
-                                 mono_time now) noexcept {
+                                 std::chrono::milliseconds refusal_interval, mono_time now) noexcept {
     const bool is_first = health.refused_at == mono_time{};
-    const bool is_too_soon = is_first || now < health.refused_at + draining_refusal_interval;
+    const bool is_too_soon = is_first || now < health.refused_at + refusal_interval;
     if (outcome == probe_outcome::refused && is_too_soon && health.last_progress_at <= started_at) {
         health.probing = false;
         health.refused_at = is_first ? now : health.refused_at;
-        health.next_probe_at = health.refused_at + draining_refusal_interval;
+        health.next_probe_at = now + draining_refusal_interval;
         return;
     }
     record_probe_ended(health, outcome, started_at, now);
--- a/libs/director/src/timeouts.cpp
+++ b/libs/director/src/timeouts.cpp
@@ -349,6 +349,14 @@
     return {};
 }
 
+std::chrono::milliseconds refusal_interval_of(const fleet_view& view,
+                                              const known_upstream& upstream) noexcept {
+    if (!upstream.listed || view.routes == nullptr) {
+        return draining_refusal_interval;
+    }
+    return std::max(draining_refusal_interval, time_limit_of_service(*view.routes, upstream.report.service));
+}
+
 std::vector<flow_reset> remove_flows_of(director_state& state, steering_tag tag) {
     std::vector<flow_reset> resets;
     for (const auto& [flow, entry] : state.flows.flows) {
--- a/libs/director/tests/director_test.cpp
+++ b/libs/director/tests/director_test.cpp
@@ -515,6 +515,17 @@
     CHECK(simulation.reset_at_ms.empty());
 }
 
+// Guards against the loss of the last answers of a draining host, which stops listening before it sends them.
+TEST_CASE("DirectorTest.NeedsRefusalsOfADrainingHostForAsLongAsARequestMayTakeWhileItIsListed") {
+    auto configuration = make_configuration();
+    configuration.routes[0].time_limit = milliseconds{2500};
+    const auto view = make_view(make_directory(make_reports(1)), configuration);
+    known_upstream draining{.report = make_report({.phase = upstream_phase::draining})};
+    CHECK(refusal_interval_of(view, draining) == milliseconds{2500});
+    draining.listed = false;
+    CHECK(refusal_interval_of(view, draining) == draining_refusal_interval);
+}
+
 // --- Observations between directors ------------------------------------------------------------------------
 
 // Guards against callers that wait until their timeout because no single director has enough evidence that a
--- a/libs/director/tests/host_health_test.cpp
+++ b/libs/director/tests/host_health_test.cpp
@@ -64,26 +64,44 @@
     host_health health;
     record_progress(health, at_ms(4000));
     record_probe_started(health, at_ms(14'331));
-    record_draining_probe_ended(health, probe_outcome::refused, at_ms(14'331), at_ms(14'335));
+    record_draining_probe_ended(health, probe_outcome::refused, at_ms(14'331), milliseconds{400},
+                                at_ms(14'335));
     CHECK_FALSE(is_unreachable(health, at_ms(14'336)));
     CHECK_FALSE(is_probe_due(health, at_ms(14'500)));
     REQUIRE(is_probe_due(health, at_ms(14'735)));
     record_probe_started(health, at_ms(14'735));
-    record_draining_probe_ended(health, probe_outcome::refused, at_ms(14'735), at_ms(14'739));
+    record_draining_probe_ended(health, probe_outcome::refused, at_ms(14'735), milliseconds{400},
+                                at_ms(14'739));
     CHECK(is_unreachable(health, at_ms(14'740)));
 }
 
 TEST_CASE("HostHealthTest.ClearsTheRefusalOfADrainingHostAfterAnAnswer") {
     host_health health;
     record_probe_started(health, at_ms(100));
-    record_draining_probe_ended(health, probe_outcome::refused, at_ms(100), at_ms(104));
+    record_draining_probe_ended(health, probe_outcome::refused, at_ms(100), milliseconds{400}, at_ms(104));
     record_answer(health, at_ms(20), at_ms(150));
     CHECK_FALSE(is_probe_due(health, at_ms(1000)));
     record_probe_started(health, at_ms(1000));
-    record_draining_probe_ended(health, probe_outcome::refused, at_ms(1000), at_ms(1004));
+    record_draining_probe_ended(health, probe_outcome::refused, at_ms(1000), milliseconds{400}, at_ms(1004));
     CHECK_FALSE(is_unreachable(health, at_ms(1005)));
 }
 
+// Guards against resets of flows of a draining host that has stopped listening and whose last request takes
+// longer than the time between two probes.
+TEST_CASE("HostHealthTest.StaysReachableWhileADrainingHostRefusesProbesForLessThanTheInterval") {
+    host_health health;
+    record_progress(health, at_ms(0));
+    for (std::int64_t now_ms = 100; now_ms < 2600; now_ms += 400) {
+        record_probe_started(health, at_ms(now_ms));
+        record_draining_probe_ended(health, probe_outcome::refused, at_ms(now_ms), milliseconds{2500},
+                                    at_ms(now_ms));
+        CHECK_FALSE(is_unreachable(health, at_ms(now_ms)));
+        CHECK(is_probe_due(health, at_ms(now_ms + 400)));
+    }
+    record_draining_probe_ended(health, probe_outcome::refused, at_ms(2600), milliseconds{2500}, at_ms(2600));
+    CHECK(is_unreachable(health, at_ms(2600)));
+}
+
 TEST_CASE("HostHealthTest.DoublesTheAvoidanceWithEachStallUpToALimit") {
     host_health health;
     std::vector<std::int64_t> avoided_ms;
