Log how old the evidence of the readers was when a director stops relying on it

Why: nothing in a director's log told for how long it had followed readers that knew nothing new. When a host that drains gets new flows, the cause may be a reader that is silent, one that reports without having reached the store, a lost message, or the director's own late read. Change: readers_lost names the age of the last report and of the last verification of a reader's listing. No decision changes.

--- a/apps/director/update_exchange.cpp
+++ b/apps/director/update_exchange.cpp
@@ -1,6 +1,7 @@
 #include "update_exchange.hpp"
 
 #include <guavaramp/auth/peer_datagram.hpp>
+#include <guavaramp/director/age.hpp>
 #include <guavaramp/telemetry/log.hpp>
 
 #include <algorithm>
@@ -241,6 +242,9 @@
                    {"readers_heard", std::to_string(relay_.readers.size())},
                    {"listing_revision", std::to_string(callbacks_.own_listing().revision)}});
     }
+    if (source_.coverage && !coverage) {
+        log_lost_coverage(time);
+    }
     const auto relies_on_readers_until = role_.is_reader ? mono_time{}
                                          : coverage      ? coverage->until
                                                          : next_role_update_at;
@@ -254,6 +258,21 @@
     return next_role_update_at;
 }
 
+/// Logs how old the evidence was on which this director has relied until now: the last report of a reader,
+/// and the last time at which a reader had found its listing complete.
+void update_exchange::log_lost_coverage(mono_time time) const {
+    mono_time heard_at{};
+    mono_time verified_at{};
+    for (const auto& [sender, reader] : relay_.readers) {
+        heard_at = std::max(heard_at, reader.heard_at);
+        verified_at =
+            std::max(verified_at, reader.heard_at - std::chrono::milliseconds{reader.report.verified_age_ms});
+    }
+    log_event(log_level::info, "readers_lost",
+              {{"report_age_ms", std::to_string(age_ms(heard_at, time))},
+               {"verified_age_ms", std::to_string(age_ms(verified_at, time))}});
+}
+
 void update_exchange::broadcast(const std::optional<listing_delta>& delta) {
     if (!source_.is_reader) {
         return;
--- a/apps/director/update_exchange.hpp
+++ b/apps/director/update_exchange.hpp
@@ -86,6 +86,7 @@
     [[nodiscard]] std::vector<endpoint> readers_to_announce();
     /// Determines the source again. Returns when to do so next if no message arrives before.
     mono_time refresh_source();
+    void log_lost_coverage(mono_time time) const;
     void send_to(std::span<const endpoint> receivers, const relay_message& message);
     /// Queues `message` for `receivers` without sending it, so that many messages are sent in few system
     /// calls.
