Rely on a reader no longer than its verified listing may lack a drain

Cause: two times added up. A reader that has lost the store goes on reporting, and counted while its listing had been verified within 2.0 s of the report; its report then counted for 1.5 s more. A director could so rely for 3.5 s on readers that knew nothing new, before it took over, 50 ms and more later. It was neither a lost message nor its own late read. Change: a director stores one deadline for each reader, known_reader::relied_on_ until: 1.5 s after its report or 2.0 s after its verification, whichever ends first. All four uses read it. 2.0 s leave 0.4 s for a takeover, and the rest for the director's own read and for the age of the cached answers by which readers verify their listing. So that a lost report does not end the reliance, a reader reports each verification at once and repeats it 0.35 s later. Checks come every 0.7 s in place of 0.75: two reports in 1.4 s, as many as before. Why it works: what a reader verified before the drain was confirmed counts for 2.0 s after the confirmation at most, however its reports were timed. Changed expectations: ReliesOnAReaderUntilTheValidityOfItsReportEnds used a report with a verification 0.7 s old, which now ends first, at 1.3 s; it uses one that is 0.5 s old, and ...OfItsVerificationEnds checks the other case. ChecksALargeConfigurationLessOften follows the period of the checks.

--- a/apps/director/control_thread.cpp
+++ b/apps/director/control_thread.cpp
@@ -87,7 +87,9 @@
     void run() {
         name_thread("control");
         store_.start(
-            [this](const std::optional<listing_delta>& delta) { update_exchange_.broadcast(delta); });
+            {.announce =
+                 [this](const std::optional<listing_delta>& delta) { update_exchange_.broadcast(delta); },
+             .listing_verified = [this] { update_exchange_.report_verification(); }});
         membership_.start();
         update_exchange_.start();
         neighbour_finder_.start();
--- a/apps/director/store_synchronizer.cpp
+++ b/apps/director/store_synchronizer.cpp
@@ -94,8 +94,8 @@
     record_reader_role(sync_, false, now());
 }
 
-void store_synchronizer::start(std::function<void(const std::optional<listing_delta>&)> announce) {
-    announce_ = std::move(announce);
+void store_synchronizer::start(store_synchronizer_callbacks callbacks) {
+    callbacks_ = std::move(callbacks);
     start_due_reads();
     schedule_check();
 }
@@ -275,12 +275,9 @@
         log_event(log_level::info, "watch_missed_change", {{"reading", to_text(dataset)}});
         start_full_read(dataset);
     } else if (answered && dataset == store_dataset::listing) {
-        const bool was_unverified = check_started_at_ - listing_verified_at_ > max_verified_age;
         listing_verified_at_ = std::max(listing_verified_at_, check_started_at_);
         publish_view();
-        if (was_unverified) {
-            announce_(std::nullopt);
-        }
+        callbacks_.listing_verified();
     } else if (answered && is_watching) {
         routes_current_until_ = now() + watch_hold_limit + read_stall_timeout;
         publish_view();
@@ -416,7 +413,7 @@
                {"revision", std::to_string(item.revision)},
                {"routes", std::to_string(decoded->configuration.routes.size())},
                {"unreadable_routes", std::to_string(decoded->unreadable_routes)}});
-    announce_(std::nullopt);
+    callbacks_.announce(std::nullopt);
 }
 
 void store_synchronizer::read_listing_page(const std::string& after_key) {
@@ -456,7 +453,7 @@
     listing_verified_at_ = listing_.read_started_at;
     listing_revision_ = pages_.revision;
     on_read_success({.dataset = store_dataset::listing, .kind = read_kind::full}, pages_.revision);
-    announce_(delta);
+    callbacks_.announce(delta);
 }
 
 /// Applies a listing from cached responses. An upstream that it lacks may have been removed, or may have been
@@ -490,7 +487,7 @@
     }
     on_read_success({.dataset = store_dataset::listing, .kind = read_kind::watch}, changes->store_revision);
     if (has_changed) {
-        announce_(delta);
+        callbacks_.announce(delta);
     }
 }
 
--- a/apps/director/store_synchronizer.hpp
+++ b/apps/director/store_synchronizer.hpp
@@ -16,6 +16,16 @@
 
 namespace guavaramp {
 
+/// Callbacks through which a `store_synchronizer` tells its owner what it has read. All are called on the
+/// thread of the Asio context.
+struct store_synchronizer_callbacks {
+    /// Called with a delta after each full read of the listing from the newest state and after each watch
+    /// that returned changes, and without one after each new configuration.
+    std::function<void(const std::optional<listing_delta>&)> announce;
+    /// Called after each check that has found the listing complete.
+    std::function<void()> listing_verified;
+};
+
 /// Reads the configuration and the listing of upstreams from the platform's store, at the times that
 /// `store_sync` determines. Each is read in full once, then followed by watches or by the updates of other
 /// directors, and read in full again after any failure. Publishes a `fleet_view` after each read. Must be
@@ -24,11 +34,8 @@
 public:
     store_synchronizer(asio::io_context& io, director_context& context);
 
-    /// Starts the first reads, and goes on until the Asio context ends. `announce` is called with a delta
-    /// after each full read of the listing from the newest state and after each watch that returned changes.
-    /// It is called without a delta after each new configuration, and after a check that verifies a listing
-    /// whose last verification was older than `max_verified_age`.
-    void start(std::function<void(const std::optional<listing_delta>&)> announce);
+    /// Starts the first reads, and goes on until the Asio context ends.
+    void start(store_synchronizer_callbacks callbacks);
 
     /// Returns the report that this director sends as a reader. Returns nothing while the store does not
     /// answer, or before this director has read the listing and either the configuration or that there is
@@ -111,7 +118,7 @@
     upstream_listing pages_;    ///< pages of the full read in progress
     bool pages_cached_{false};  ///< the pages come from cached responses, which may be stale
     fleet_view view_;
-    std::function<void(const std::optional<listing_delta>&)> announce_;
+    store_synchronizer_callbacks callbacks_;
     update_source source_;
     std::uint64_t configuration_revision_{0};  ///< revision of the configuration read last
     std::uint64_t listing_revision_{0};        ///< revision of the last known change of the listing
--- a/apps/director/update_exchange.cpp
+++ b/apps/director/update_exchange.cpp
@@ -159,13 +159,15 @@
     send_change_request_if_due();
     const auto next_role_update_at = refresh_source();
     if (time >= next_report_at_) {
-        next_report_at_ = time + report_period;
         broadcast(std::nullopt);
+        next_report_at_ = time + report_period;
+        repetition_pending_ = false;
     }
     schedule_timer(next_role_update_at);
 }
 
 void update_exchange::schedule_timer(mono_time next_role_update_at) {
+    next_role_update_at_ = next_role_update_at;
     const auto next_introduction_at =
         has_introduced_itself_ ? next_introduction_at_ : now() + membership_poll_period;
     timer_.expires_at(
@@ -265,8 +267,7 @@
     mono_time verified_at{};
     for (const auto& [sender, reader] : relay_.readers) {
         heard_at = std::max(heard_at, reader.heard_at);
-        verified_at =
-            std::max(verified_at, reader.heard_at - std::chrono::milliseconds{reader.report.verified_age_ms});
+        verified_at = std::max(verified_at, reader.verified_at);
     }
     log_event(log_level::info, "readers_lost",
               {{"report_age_ms", std::to_string(age_ms(heard_at, time))},
@@ -277,6 +278,9 @@
     if (!source_.is_reader) {
         return;
     }
+    next_report_at_ = now() + report_repeat_wait;
+    repetition_pending_ = true;
+    schedule_timer(next_role_update_at_);
     const auto report = own_report();
     const auto receivers = peer_update_addresses();
     if (!delta) {
@@ -293,6 +297,13 @@
     socket_.flush();
 }
 
+void update_exchange::report_verification() {
+    // A repetition that is pending carries the new verification too.
+    if (!repetition_pending_) {
+        broadcast(std::nullopt);
+    }
+}
+
 std::vector<endpoint> update_exchange::peer_update_addresses() {
     std::vector<endpoint> addresses;
     if (const auto& membership = socket_.membership()) {
--- a/apps/director/update_exchange.hpp
+++ b/apps/director/update_exchange.hpp
@@ -63,9 +63,12 @@
     void start();
 
     /// If this director is a reader, sends `delta` to the other directors of the failure domain, or a report
-    /// alone if `delta` is empty.
+    /// alone if `delta` is empty. Repeats the report after `report_repeat_wait`.
     void broadcast(const std::optional<listing_delta>& delta);
 
+    /// If this director is a reader, reports to the other directors that it has verified its listing.
+    void report_verification();
+
     /// Discards the readers' reports, which are stale after the machine was suspended.
     void discard_reports();
 
@@ -103,6 +106,8 @@
     reader_role role_;
     change_request change_request_;
     mono_time next_report_at_{};
+    bool repetition_pending_{false};  ///< the next report repeats one, or carries what is newer by then
+    mono_time next_role_update_at_{};
     mono_time next_introduction_at_{};
     bool has_introduced_itself_{false};
     std::vector<endpoint> announced_readers_;     ///< readers that the latest reports name
--- a/libs/director/include/guavaramp/director/store_sync.hpp
+++ b/libs/director/include/guavaramp/director/store_sync.hpp
@@ -36,8 +36,8 @@
 /// Period of checking the two datasets, in turn, against cached reads, which cost a tenth of a read of the
 /// newest state. A watch can miss a change without an error when the store drops its history, or wait on a
 /// connection that delivers nothing more. With this period a missed change is found within half of the 3 s in
-/// which a drain must be in force.
-inline constexpr auto check_period = std::chrono::milliseconds{750};
+/// which a drain must be in force, and one of two reports about a check may be lost within `report_validity`.
+inline constexpr auto check_period = std::chrono::milliseconds{700};
 /// Limit of the bytes per second that checks of the configuration take: 4% of the slowest link, 10 Mbit/s.
 inline constexpr std::int64_t max_configuration_check_bytes_per_s = 48'000;
 /// Wait after the first of several failed reads in a row. It doubles with each further failure up to
--- a/libs/director/include/guavaramp/director/update_relay.hpp
+++ b/libs/director/include/guavaramp/director/update_relay.hpp
@@ -22,21 +22,27 @@
 
 /// Directors of a failure domain that read the store: two, so that the loss of one leaves no gap.
 inline constexpr std::ptrdiff_t readers_per_failure_domain = 2;
-/// Period of a reader's reports while nothing changes. With 133 directors in a failure domain, the design
-/// size, 100 bytes each take 19 KB/s at a reader, the budget for control traffic.
-inline constexpr auto report_period = std::chrono::milliseconds{700};
-/// How long a report is valid: one report may be lost. This is half of the 3 s in which a drain must be in
-/// force; the other half is left for the director's own read of the store.
+/// Time after which a reader repeats a report that may be the first with a change or a verification, in case
+/// it was lost.
+inline constexpr auto report_repeat_wait = std::chrono::milliseconds{350};
+/// Longest time between two reports of a reader. While the store answers, the report of the next verification
+/// comes sooner, so that a reader reports twice in two `check_period`. With 133 directors in a failure
+/// domain, the design size, 100 bytes each take 19 KB/s at a reader, the budget for control traffic.
+inline constexpr auto report_period = std::chrono::milliseconds{1100};
+/// How long a reader that is silent is relied on: one of its reports may be lost.
 inline constexpr auto report_validity = std::chrono::milliseconds{1500};
-/// A reader whose listing was last verified longer ago than this is not relied on. Readers verify it every
-/// 1.5 s.
-inline constexpr auto max_verified_age = std::chrono::milliseconds{2000};
+/// How long after the time at which a reader verified its listing others rely on the reader. A change that
+/// the store confirms later may be missing at the reader and must be in force at all directors within 3 s;
+/// the rest of these is left for taking over from the reader, 0.4 s, a director's own read of the store, and
+/// the age of the cached answers with which readers verify their listing. Readers verify it in every second
+/// `check_period`, and one report may be lost.
+inline constexpr auto verification_validity = std::chrono::milliseconds{2000};
 /// Time between two directors' attempts to take over from a reader: the transmission of a report inside a
 /// failure domain and the receiver's wake-up, on a slow machine.
 inline constexpr auto takeover_interval = std::chrono::milliseconds{50};
 /// Takeover intervals that a director waits at most: directors that rank after that many others follow at
-/// once, unless the store does not answer those that have tried. With `report_validity`, a director gets no
-/// updates for 1.9 s at most while the store answers.
+/// once, unless the store does not answer those that have tried. With `verification_validity`, a director
+/// gets no updates for 2.4 s at most while the store answers.
 inline constexpr std::ptrdiff_t max_takeover_intervals = 8;
 /// Once `max_takeover_intervals` directors have tried in vain, the store is probably unavailable for all, and
 /// each further director waits this much longer. Otherwise the whole failure domain would add to the load of
@@ -78,6 +84,10 @@
 struct known_reader {
     reader_report report;
     mono_time heard_at{};
+    mono_time verified_at{};  ///< time at which the reader last found its listing complete
+    /// Deadline until which the reader is relied on: `report_validity` after its report or
+    /// `verification_validity` after its verification, whichever ends first. The two do not add up.
+    mono_time relied_on_until{};
 };
 
 /// The directors that have reported lately, by their update addresses. Not thread-safe.
@@ -139,7 +149,7 @@
 
 /// What the reports of all reliable readers together show.
 struct relay_coverage {
-    mono_time until{};                        ///< deadline until which a report is valid
+    mono_time until{};                        ///< deadline until which a reader is relied on
     std::uint64_t confirmed_revision{0};      ///< own listing is complete up to it; 0 if not confirmed
     mono_time listing_verified_at{};          ///< a reader found a listing equal to the own one complete then
     bool listing_differs{false};              ///< a reader knows a change that this director lacks
--- a/libs/director/src/director.cpp
+++ b/libs/director/src/director.cpp
@@ -27,8 +27,7 @@
 constexpr auto unknown_tag_retention = std::chrono::seconds{30};
 
 /// A flow is reset because its upstream is missing only if the listing was verified within this time. While a
-/// director hears readers, the last verification is at most 3.5 s old: a reader is relied on for 2 s after
-/// its own one, and its reports come every 0.7 s, of which one may be lost.
+/// director relies on readers, the last verification is more recent, see `verification_validity`.
 constexpr auto max_listing_age_for_reset = std::chrono::milliseconds{4000};
 
 constexpr std::array<std::string_view, decision_reason_count> reason_names{
--- a/libs/director/src/update_relay.cpp
+++ b/libs/director/src/update_relay.cpp
@@ -29,10 +29,7 @@
     return steps * takeover_interval + slow_steps * slow_takeover_interval;
 }
 
-bool is_reliable(const known_reader& reader, mono_time now) noexcept {
-    return now < reader.heard_at + report_validity &&
-           std::chrono::milliseconds{reader.report.verified_age_ms} <= max_verified_age;
-}
+bool is_reliable(const known_reader& reader, mono_time now) noexcept { return now < reader.relied_on_until; }
 
 }  // namespace
 
@@ -62,7 +59,7 @@
 void update_change_request(change_request& request, const endpoint& sender, const reader_report& report,
                            const listing_state& own, mono_time now) {
     const bool is_up_to_date = own.revision != 0 && report.listing.revision >= own.revision;
-    if (!is_up_to_date || std::chrono::milliseconds{report.verified_age_ms} > max_verified_age) {
+    if (!is_up_to_date || std::chrono::milliseconds{report.verified_age_ms} >= verification_validity) {
         return;
     }
     if (report.listing.digest == own.digest) {
@@ -73,7 +70,12 @@
 }
 
 void record_report(update_relay& relay, const endpoint& sender, const reader_report& report, mono_time now) {
-    relay.readers[sender] = {.report = report, .heard_at = now};
+    const auto verified_at = now - std::chrono::milliseconds{report.verified_age_ms};
+    relay.readers[sender] = {
+        .report = report,
+        .heard_at = now,
+        .verified_at = verified_at,
+        .relied_on_until = std::min(now + report_validity, verified_at + verification_validity)};
     std::erase_if(relay.readers,
                   [now](const auto& item) { return now - item.second.heard_at > silent_reader_retention; });
 }
@@ -113,7 +115,7 @@
         store_lost = store_lost || (reader.report.store_lost && now < reader.heard_at + report_validity);
         if (is_reliable(reader, now)) {
             reliable_readers_before += rank_of(sender) < own_rank ? 1 : 0;
-            next_decision_at = std::min(next_decision_at, reader.heard_at + report_validity);
+            next_decision_at = std::min(next_decision_at, reader.relied_on_until);
         }
     }
     const auto missing_readers = readers_per_failure_domain - reliable_readers_before;
@@ -158,7 +160,7 @@
             coverage.emplace();
         }
         const auto& report = reader.report;
-        coverage->until = std::max(coverage->until, reader.heard_at + report_validity);
+        coverage->until = std::max(coverage->until, reader.relied_on_until);
         coverage->configuration_revision =
             std::max(coverage->configuration_revision, report.configuration_revision);
         const auto store_available_since =
@@ -170,9 +172,7 @@
         }
         if (report.listing.digest == own.digest) {
             coverage->confirmed_revision = std::max(coverage->confirmed_revision, report.listing.revision);
-            coverage->listing_verified_at =
-                std::max(coverage->listing_verified_at,
-                         reader.heard_at - std::chrono::milliseconds{report.verified_age_ms});
+            coverage->listing_verified_at = std::max(coverage->listing_verified_at, reader.verified_at);
         } else {
             coverage->listing_differs = true;
         }
--- a/libs/director/tests/store_sync_test.cpp
+++ b/libs/director/tests/store_sync_test.cpp
@@ -88,7 +88,7 @@
 
 // Guards against checks that fill a slow machine's link when the configuration has many routes.
 TEST_CASE("StoreSyncTest.ChecksALargeConfigurationLessOften") {
-    CHECK(next_configuration_check_at(20'000, at_ms(0)) == at_ms(1500));
+    CHECK(next_configuration_check_at(20'000, at_ms(0)) == at_ms(1400));
     CHECK(next_configuration_check_at(480'000, at_ms(0)) == at_ms(10'000));
 }
 
--- a/libs/director/tests/update_relay_test.cpp
+++ b/libs/director/tests/update_relay_test.cpp
@@ -1,5 +1,6 @@
 #include "director_fixture.hpp"
 
+#include <guavaramp/director/store_sync.hpp>
 #include <guavaramp/director/update_relay.hpp>
 
 #include <property.hpp>
@@ -376,7 +377,9 @@
 
 TEST_CASE("UpdateRelayTest.ReliesOnAReaderUntilTheValidityOfItsReportEnds") {
     update_relay relay;
-    record_report(relay, director(1), reliable_report(), at_ms(0));
+    auto report = reliable_report();
+    report.verified_age_ms = 500;
+    record_report(relay, director(1), report, at_ms(0));
     const auto coverage = coverage_at(relay, {.revision = 100, .digest = 7}, at_ms(1499));
     REQUIRE(coverage.has_value());
     CHECK(coverage->until == at_ms(1500));
@@ -384,6 +387,73 @@
     CHECK_FALSE(coverage_at(relay, {.revision = 100, .digest = 7}, at_ms(1500)).has_value());
 }
 
+TEST_CASE("UpdateRelayTest.ReliesOnAReaderUntilTheValidityOfItsVerificationEnds") {
+    update_relay relay;
+    auto report = reliable_report();
+    report.verified_age_ms = 700;
+    record_report(relay, director(1), report, at_ms(0));
+    const auto coverage = coverage_at(relay, {.revision = 100, .digest = 7}, at_ms(1299));
+    REQUIRE(coverage.has_value());
+    CHECK(coverage->until == at_ms(1300));
+    CHECK_FALSE(coverage_at(relay, {.revision = 100, .digest = 7}, at_ms(1300)).has_value());
+}
+
+// Load pattern: both readers of a failure domain lose the store, go on reporting and are killed 1.93 s later.
+// Guards against a director that places new flows on a draining host for longer than 3 s, because the time
+// for which a reader's listing counts and the time for which its report counts add up (review case 3: 3.3 s).
+TEST_CASE("UpdateRelayTest.ADirectorStopsRelyingOnReadersInTimeForADrainWhenTheyLoseTheStoreAndAreKilled") {
+    constexpr std::int64_t drain_bound_ms = 3000;
+    for (const std::uint8_t count : {3, 30, 133}) {
+        for (std::int64_t verified_before_ms = 0; verified_before_ms <= 1400; verified_before_ms += 100) {
+            CAPTURE(count);
+            CAPTURE(verified_before_ms);
+            const auto others = directors(count);
+            const endpoint self = director(200);
+            update_relay relay;
+            auto role = make_reader_role(self, at_ms(-20'000));
+            record_membership(role, self, others, true, at_ms(-20'000));
+            std::int64_t reads_store_at_ms = 0;
+            // The store confirms the drain at 0 ms, just after it has stopped answering the readers.
+            for (std::int64_t now_ms = -1400; now_ms <= 6000 && reads_store_at_ms == 0; now_ms += 10) {
+                if (now_ms <= 1930 && now_ms % 350 == 0) {
+                    auto report = reliable_report();
+                    const auto verified_at_ms = std::min(now_ms, -verified_before_ms);
+                    report.verified_age_ms = static_cast<std::uint32_t>(now_ms - verified_at_ms);
+                    record_report(relay, director(0), report, at_ms(now_ms));
+                    record_report(relay, director(1), report, at_ms(now_ms));
+                }
+                (void)update_reader_role(role, relay, self, others, at_ms(now_ms));
+                reads_store_at_ms = now_ms > 0 && role.is_reader ? now_ms : 0;
+            }
+            CHECK(reads_store_at_ms > 0);
+            CHECK(reads_store_at_ms < drain_bound_ms);
+        }
+    }
+}
+
+// Guards against directors that give up a reader, and read the store themselves, for one lost report.
+TEST_CASE("UpdateRelayTest.RelyingOnAReaderSurvivesOneLostReport") {
+    // A reader verifies its listing in every second check, reports that at once and repeats the report.
+    const auto period = 2 * check_period;
+    for (std::int64_t lost = 0; lost < 4; ++lost) {
+        CAPTURE(lost);
+        update_relay relay;
+        mono_time relied_on_until = mono_time::max();
+        for (std::int64_t number = 0; number < 8; ++number) {
+            const auto verified_at = at_ms(0) + number / 2 * period;
+            const auto sent_at = verified_at + (number % 2) * report_repeat_wait;
+            if (number == lost + 2) {
+                continue;
+            }
+            CHECK(sent_at < relied_on_until);
+            auto report = reliable_report();
+            report.verified_age_ms = static_cast<std::uint32_t>((sent_at - verified_at) / milliseconds{1});
+            record_report(relay, director(1), report, sent_at);
+            relied_on_until = relay.readers.at(director(1)).relied_on_until;
+        }
+    }
+}
+
 // Guards against a listing that stays different from the readers' after a lost or reordered message.
 TEST_CASE("UpdateRelayTest.EqualDigestConfirmsTheListingAndAnotherOneShowsADifference") {
     update_relay relay;
