Take a listing for verified only when nothing is missing in it

A reader pauses up to 1.5 s between two watches. A check in this pause may show a change that the reader lacks; the listing counted as verified all the same. The answer to a watch counted as of its arrival, also if a partition had held it up. If such a reader ended then, the others relied on it for up to 2.0 s from a time after the change. Cause: finish_check took every answered check for a verification unless it had to read anew. Change: judge_check, a pure function with three verdicts; a missed change without an open watch is inconclusive. The answer to a watch verifies the listing as of the start of the watch. Red before: the branches of finish_check had no function of their own; written as one, `answered ? complete : inconclusive` without an open watch, the new StoreSyncTest.ACheckThatShowsAMissedChangeDoesNotVerifyTheListing fails. Not shown with processes.

--- a/apps/director/store_synchronizer.cpp
+++ b/apps/director/store_synchronizer.cpp
@@ -270,19 +270,30 @@
     const auto& state = sync_of(sync_, dataset);
     const bool is_watching = state.read_in_progress && !state.needs_full_read &&
                              now() >= connection.read_started_at + min_watch_time_before_check;
-    if (has_missed_change && is_watching) {
-        missed_changes_.add();
-        log_event(log_level::info, "watch_missed_change", {{"reading", to_text(dataset)}});
-        start_full_read(dataset);
-    } else if (answered && dataset == store_dataset::listing) {
+    switch (judge_check(answered, has_missed_change, is_watching)) {
+        case check_verdict::watch_is_dead:
+            missed_changes_.add();
+            log_event(log_level::info, "watch_missed_change", {{"reading", to_text(dataset)}});
+            start_full_read(dataset);
+            break;
+        case check_verdict::complete:
+            record_complete_check(dataset, is_watching);
+            break;
+        case check_verdict::inconclusive:
+            break;
+    }
+    schedule_check();
+}
+
+void store_synchronizer::record_complete_check(store_dataset dataset, bool is_watching) {
+    if (dataset == store_dataset::listing) {
         listing_verified_at_ = std::max(listing_verified_at_, check_started_at_);
         publish_view();
         callbacks_.listing_verified();
-    } else if (answered && is_watching) {
+    } else if (is_watching) {
         routes_current_until_ = now() + watch_hold_limit + read_stall_timeout;
         publish_view();
     }
-    schedule_check();
 }
 
 std::string store_synchronizer::upstream_name(steering_tag tag) const {
@@ -480,7 +491,8 @@
     const auto time = now();
     const listing_delta delta{.after_revision = listing_revision_, .update = to_upstream_update(*changes)};
     apply_changes(apply_update(directory_, delta.update, time, time - unlisted_retention), "store");
-    listing_verified_at_ = time;
+    // The answer shows the state at some time after the watch began. It may have been held up on its way.
+    listing_verified_at_ = std::max(listing_verified_at_, listing_.read_started_at);
     const bool has_changed = !changes->written.empty() || !changes->deleted.empty();
     if (has_changed) {
         listing_revision_ = std::max(listing_revision_, changes->store_revision);
--- a/libs/director/include/guavaramp/director/store_sync.hpp
+++ b/libs/director/include/guavaramp/director/store_sync.hpp
@@ -181,6 +181,17 @@
 /// progress. Not thread-safe.
 void request_full_read(store_sync& sync, store_dataset dataset, mono_time at) noexcept;
 
+/// What a check of a dataset against a cached answer of the store shows.
+enum class check_verdict : std::uint8_t {
+    complete,       ///< the director knows every change that the answer shows
+    watch_is_dead,  ///< the answer shows a change that the open watch has not brought
+    inconclusive    ///< no answer, or a change that the next watch brings because none was open
+};
+
+/// Returns what a check shows. `watch_is_open` tells whether a watch has been open for long enough to have
+/// brought every change that a check finds. Thread-safe.
+[[nodiscard]] check_verdict judge_check(bool answered, bool has_missed_change, bool watch_is_open) noexcept;
+
 /// Returns when the configuration may be checked next, after a check whose answer had `bytes` bytes.
 /// Thread-safe.
 [[nodiscard]] mono_time next_configuration_check_at(std::size_t bytes, mono_time now) noexcept;
--- a/libs/director/src/store_sync.cpp
+++ b/libs/director/src/store_sync.cpp
@@ -210,6 +210,16 @@
     state.next_read_at = at;
 }
 
+check_verdict judge_check(bool answered, bool has_missed_change, bool watch_is_open) noexcept {
+    if (!answered) {
+        return check_verdict::inconclusive;
+    }
+    if (!has_missed_change) {
+        return check_verdict::complete;
+    }
+    return watch_is_open ? check_verdict::watch_is_dead : check_verdict::inconclusive;
+}
+
 mono_time next_configuration_check_at(std::size_t bytes, mono_time now) noexcept {
     const auto pause = std::chrono::milliseconds{static_cast<std::int64_t>(bytes) * std::milli::den /
                                                  max_configuration_check_bytes_per_s};
--- a/libs/director/tests/store_sync_test.cpp
+++ b/libs/director/tests/store_sync_test.cpp
@@ -86,6 +86,16 @@
     CHECK_FALSE(record_read_failure(sync, store_dataset::listing, false, at_ms(700)));
 }
 
+// Guards against directors that rely on a reader whose check has just shown that it lacks a change: between
+// two watches no watch is open that could bring it.
+TEST_CASE("StoreSyncTest.ACheckThatShowsAMissedChangeDoesNotVerifyTheListing") {
+    CHECK(judge_check(true, false, true) == check_verdict::complete);
+    CHECK(judge_check(true, false, false) == check_verdict::complete);
+    CHECK(judge_check(true, true, true) == check_verdict::watch_is_dead);
+    CHECK(judge_check(true, true, false) == check_verdict::inconclusive);
+    CHECK(judge_check(false, false, true) == check_verdict::inconclusive);
+}
+
 // Guards against checks that fill a slow machine's link when the configuration has many routes.
 TEST_CASE("StoreSyncTest.ChecksALargeConfigurationLessOften") {
     CHECK(next_configuration_check_at(20'000, at_ms(0)) == at_ms(1400));
