--- a/libs/base/tests/cbor_test.cpp
+++ b/libs/base/tests/cbor_test.cpp
@@ -28,6 +28,23 @@
     CHECK(parse_cbor(bytes_of({0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xfe})).is_discarded());
 }
 
+// Guards against the end of the process by a stack overflow: the library recurses once for each nested array.
+TEST_CASE("CborTest.DiscardsDeeplyNestedArrays") {
+    const auto nested = [](std::size_t depth) {
+        std::vector<std::byte> bytes(depth, std::byte{0x81});
+        bytes.push_back(std::byte{0x01});
+        return bytes;
+    };
+    CHECK_FALSE(parse_cbor(nested(max_cbor_depth)).is_discarded());
+    CHECK(parse_cbor(nested(max_cbor_depth + 1)).is_discarded());
+    CHECK(parse_cbor(nested(1'000'000)).is_discarded());
+    std::vector<std::byte> maps;
+    for (std::size_t depth = 0; depth < 1'000'000; ++depth) {
+        maps.insert(maps.end(), {std::byte{0xa1}, std::byte{0x60}});
+    }
+    CHECK(parse_cbor(maps).is_discarded());
+}
+
 TEST_CASE("CborTest.DiscardsTruncatedInputAndTrailingBytes") {
     CHECK(parse_cbor({}).is_discarded());
     CHECK(parse_cbor(bytes_of({0x82, 0x01})).is_discarded());
