Make each message about the listing fit into a datagram

What callers would see: directors that learn of hosts later, and a store that is pressed by the whole fleet. A message that exceeds a datagram was dropped, with the changes of other hosts in it; all directors of the failure domain then read the store, each time the entry changes. Cause: a message took up to seven entries whatever their size, and nothing bounded the names of an entry. An entry of 2 KB of text, otherwise well-formed, fits no message; seven unreadable entries with ids of 192 bytes do not either. Not shown with processes.

--- a/libs/director/include/guavaramp/director/listing_delta.hpp
+++ b/libs/director/include/guavaramp/director/listing_delta.hpp
@@ -15,6 +15,8 @@
 /// Entries, changed or removed, of one message. With entries of about 160 bytes the message stays below the
 /// path MTU.
 inline constexpr std::size_t max_entries_per_message = 7;
+/// Limit of the encoded bytes of the entries of one message, unless it has a single entry.
+inline constexpr std::size_t max_entry_bytes_per_message = 1120;
 /// Changes that a reader sends to a director that asks for them; a director that lacks more reads the store.
 inline constexpr std::size_t max_requested_changes = 10 * max_entries_per_message;
 
--- a/libs/director/src/listing_delta.cpp
+++ b/libs/director/src/listing_delta.cpp
@@ -7,12 +7,29 @@
 
 namespace guavaramp {
 
+namespace {
+
+/// Most bytes that an entry takes in a message beside its texts: 12 fields, of which 5 are 64-bit numbers.
+constexpr std::size_t max_fixed_entry_bytes = 80;
+
+struct entry_change {
+    std::uint64_t revision;
+    const upstream_report* report;
+    const removed_upstream* removed;
+};
+
+/// Returns an upper bound of the bytes that `change` takes in a message.
+std::size_t encoded_bytes_of(const entry_change& change) noexcept {
+    const auto text_bytes =
+        change.report == nullptr
+            ? change.removed->id.size()
+            : change.report->id.size() + change.report->service.size() + change.report->failure_domain.size();
+    return max_fixed_entry_bytes + text_bytes;
+}
+
+}  // namespace
+
 std::vector<listing_delta> split_delta(const listing_delta& delta) {
-    struct entry_change {
-        std::uint64_t revision;
-        const upstream_report* report;
-        const removed_upstream* removed;
-    };
     std::vector<entry_change> changes;
     for (const auto& report : delta.update.reports) {
         changes.push_back({.revision = report.revision, .report = &report, .removed = nullptr});
@@ -26,10 +43,15 @@
     // to which the read is complete. They are sent, but they do not raise the revision of the delta.
     const auto complete_revision = std::max(delta.update.revision, delta.after_revision);
     std::uint64_t last_revision = delta.after_revision;
+    std::size_t entries = 0;
+    std::size_t entry_bytes = 0;
     for (const auto& change : changes) {
-        const auto& update = parts.back().update;
-        const bool is_full = update.reports.size() + update.removed.size() >= max_entries_per_message;
+        const auto bytes = encoded_bytes_of(change);
+        const bool is_full = entries >= max_entries_per_message ||
+                             (entries > 0 && entry_bytes + bytes > max_entry_bytes_per_message);
         if (is_full) {
+            entries = 0;
+            entry_bytes = 0;
             auto& part = parts.back();
             part.update.revision = change.revision > last_revision ? last_revision : part.after_revision;
             parts.push_back({.after_revision = part.update.revision, .update = {}});
@@ -39,6 +61,8 @@
         } else {
             parts.back().update.removed.push_back(*change.removed);
         }
+        ++entries;
+        entry_bytes += bytes;
         last_revision = std::clamp(change.revision, last_revision, complete_revision);
     }
     parts.back().update.revision = complete_revision;
--- a/libs/director/tests/update_relay_test.cpp
+++ b/libs/director/tests/update_relay_test.cpp
@@ -532,6 +532,37 @@
     CHECK(std::ranges::count_if(follower.by_id, [](const auto& item) { return item.second.listed; }) == 80);
 }
 
+// Guards against a message that exceeds a datagram because of the long texts of one writer's entries: it was
+// dropped with the changes of other hosts in it, and every director of the failure domain read the store.
+TEST_CASE("UpdateRelayTest.EntriesWithTheLongestTextsFitIntoTheirMessages") {
+    constexpr std::size_t max_text_bytes = 200;
+    constexpr std::size_t max_datagram_bytes = 2048 - 64;  // without authentication
+    auto follower = make_directory(make_reports(30));
+    listing_delta delta{.after_revision = 100, .update = {.revision = 130}};
+    for (std::uint64_t number = 1; number <= 30; ++number) {
+        auto report =
+            make_report({.id = "i-" + std::to_string(number), .number = number, .revision = 100 + number});
+        if (number % 2 == 0) {
+            report.id = std::string(max_text_bytes, 'i') + std::to_string(number);
+            report.service = std::string(max_text_bytes, 's');
+            report.failure_domain = std::string(max_text_bytes, 'd');
+            report.delivery_id = std::numeric_limits<std::uint64_t>::max();
+            report.revision = 100 + number;
+        }
+        delta.update.reports.push_back(report);
+    }
+    std::uint64_t known = 100;
+    for (const auto& part : split_delta(delta)) {
+        const relay_message message{.report = reliable_report(), .delta = part, .forward_to = directors(12)};
+        CHECK(encode_relay_message(message).size() <= max_datagram_bytes);
+        REQUIRE(delta_status_of(part, known) == delta_status::applies);
+        (void)apply_update(follower, part.update, at_ms(0), at_ms(-60'000));
+        known = part.update.revision;
+    }
+    CHECK(known == 130);
+    CHECK(follower.by_id.at("i-29").report.revision == 129);
+}
+
 TEST_CASE("UpdateRelayTest.DeltaAppliesOnceAndOnlyWithoutAGap") {
     const auto delta = make_delta(100, 3);
     CHECK(delta_status_of(delta, 99) == delta_status::gap);
