Report the first verification after a takeover at once

A director that has just taken over sends a report before its first check ends, which others do not rely on yet; seven of them would have taken over in the meantime, 50 ms apart, each with a check and two watches. Change: the verification waits for a pending repetition only if the last report made others rely on this director.

--- a/apps/director/update_exchange.cpp
+++ b/apps/director/update_exchange.cpp
@@ -282,6 +282,7 @@
     repetition_pending_ = true;
     schedule_timer(next_role_update_at_);
     const auto report = own_report();
+    is_last_report_verified_ = std::chrono::milliseconds{report.verified_age_ms} < verification_validity;
     const auto receivers = peer_update_addresses();
     if (!delta) {
         send_to(receivers, {.report = report, .readers = readers_to_announce()});
@@ -298,8 +299,9 @@
 }
 
 void update_exchange::report_verification() {
-    // A repetition that is pending carries the new verification too.
-    if (!repetition_pending_) {
+    // A repetition that is pending carries the new verification too. A reader that was not relied on so far,
+    // such as one that has just taken over, reports at once, so that no further director takes over.
+    if (!repetition_pending_ || !is_last_report_verified_) {
         broadcast(std::nullopt);
     }
 }
--- a/apps/director/update_exchange.hpp
+++ b/apps/director/update_exchange.hpp
@@ -106,7 +106,8 @@
     reader_role role_;
     change_request change_request_;
     mono_time next_report_at_{};
-    bool repetition_pending_{false};  ///< the next report repeats one, or carries what is newer by then
+    bool repetition_pending_{false};       ///< the next report repeats one, or carries what is newer by then
+    bool is_last_report_verified_{false};  ///< the last report made others rely on this director
     mono_time next_role_update_at_{};
     mono_time next_introduction_at_{};
     bool has_introduced_itself_{false};
