Write odd entries of another writer in the soak, and check the memory

The soak had no writer but the hosts. It now puts odd entries among theirs, at times in place of a host's own: nested, with numbers that are too large, ports out of range, long names, bytes that are no text.

--- a/scripts/soak_stand_ins.py
+++ b/scripts/soak_stand_ins.py
@@ -194,6 +194,18 @@
             writer.transport.abort()
 
 
+def odd_host_entry(**fields):
+    return json.dumps({"service": "workshop", "address": "127.20.0.250:8080", "zone": "centro", "version": "v1",
+                       "slots": 2, "state": "ready", "warmup-left-ms": 0, "sequence": 1, "born": 1} | fields).encode()
+
+
+# Values that no host writes. An upstream with such an entry gets no new flows, and the other entries hold.
+ODD_ENTRIES = [b"", b"\xff\xfe\x00", b"[" * 1_000_000, b'{"a":' * 200_000, odd_host_entry(slots=10 ** 18),
+               odd_host_entry(slots=10 ** 40), odd_host_entry(sequence=-1), odd_host_entry(service="x" * 5000),
+               odd_host_entry(zone="x" * 700_000), odd_host_entry(address="127.20.0.250:99999"),
+               odd_host_entry(state="resting"), odd_host_entry().replace(b'"slots": 2', b'"slots": 1e999')]
+
+
 class Host(asyncio.DatagramProtocol):
     """Stand-in of an upstream. It accepts flows, answers their requests and resets unknown flows."""
 
@@ -205,6 +217,10 @@
         self.drained_at, self.fault_window = None, FaultWindow()
         self.sequence = 0
 
+    @property
+    def key(self):
+        return f"servers/i-{self.id:08x}"
+
     async def start(self):
         loop = asyncio.get_running_loop()
         self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=(self.address, 8080))
@@ -214,7 +230,7 @@
 
     def report(self, state):
         self.sequence += 1
-        self.soak.store.put(f"servers/i-{self.id:08x}", json.dumps(
+        self.soak.store.put(self.key, json.dumps(
             {"service": self.service, "address": f"{self.address}:8080", "zone": "centro", "version": "v1",
              "slots": 2, "state": state, "warmup-left-ms": 0, "sequence": self.sequence, "born": 1}).encode())
         self.is_listed = True
@@ -228,7 +244,7 @@
 
     def unlist(self):
         if self.is_listed:
-            self.soak.store.delete(f"servers/i-{self.id:08x}")
+            self.soak.store.delete(self.key)
             self.is_listed = False
 
     def datagram_received(self, data, source):
@@ -413,6 +429,14 @@
         self.soak.processes.append(self.process)
         log.close()
 
+    def peak_memory_mb(self):
+        """Returns the peak of the resident memory of the current process; 0 if it has ended."""
+        try:
+            with open(f"/proc/{self.process.pid}/status") as file:
+                return next((int(line.split()[1]) // 1024 for line in file if line.startswith("VmHWM:")), 0)
+        except OSError:
+            return 0
+
     async def poll_readiness(self):
         while not self.soak.ended:
             try:
