Let hosts of the soak work on long requests

Now hosts answer nothing for up to 1.5 s at times, within the routes' time limit of 2.5 s; a repeated request is answered only when its work is done. A flow that a director resets meanwhile breaks FLOW.

--- a/scripts/soak_stand_ins.py
+++ b/scripts/soak_stand_ins.py
@@ -21,6 +21,9 @@
 OPEN_TIMEOUT_S = 1.4
 # Checks that a fault can disturb are not applied while the fault is active, and for this long after its end.
 FAULT_GRACE_S = 4.0
+# Time limit of the routes, after which callers give a request up, and the longest work of a request.
+TIME_LIMIT_S = 2.5
+LONGEST_REQUEST_S = 1.5
 # A drain or a configuration must be in force at most this long after the store has accepted it.
 DRAIN_DEADLINE_S = CONFIG_DEADLINE_S = 3.0
 
@@ -215,7 +218,7 @@
         self.id = 0x11110000 + number
         self.flows, self.is_alive, self.is_listed, self.has_left = {}, False, False, False
         self.drained_at, self.fault_window = None, FaultWindow()
-        self.sequence = 0
+        self.sequence, self.busy_until = 0, 0.0  # the host answers nothing until then, because its slots are taken
 
     @property
     def key(self):
@@ -285,9 +288,10 @@
             self.soak.executions[packet.payload] = self.soak.executions.get(packet.payload, 0) + 1
             self.soak.check(self.soak.executions[packet.payload] == 1, "TWICE",
                             f"request {packet.payload} was executed more than once")
-            asyncio.get_running_loop().call_later(
-                random.uniform(0.005, 0.06), self.answer, key, flow, packet.echo)
-        elif packet.seq < flow["next"]:
+            work_s = max(random.uniform(0.005, 0.06), self.busy_until - time.monotonic())
+            flow["done_at"] = time.monotonic() + work_s
+            asyncio.get_running_loop().call_later(work_s, self.answer, key, flow, packet.echo)
+        elif packet.seq < flow["next"] and time.monotonic() >= flow["done_at"]:
             self.answer(key, flow, packet.echo)
 
     def answer(self, key, flow, echo):
@@ -377,7 +381,7 @@
         started, wait = time.monotonic(), 0.2
         self.soak.count_request(flow["dport"])
         self.send(flow, ACK, payload)
-        while time.monotonic() < started + 2.5:
+        while time.monotonic() < started + TIME_LIMIT_S:
             packet, source = await self.receive(time.monotonic() + wait)
             if packet is None:
                 wait = min(2 * wait, 1.6)
