Count the time to the next check from the start of the last one

What callers would see: nothing; the store gets more calls while it is slow. Cause: the next check came 0.7 s after the end of the last one. Change: checks start each 0.7 s while an answer takes less.

--- a/apps/director/store_synchronizer.cpp
+++ b/apps/director/store_synchronizer.cpp
@@ -97,7 +97,7 @@
 void store_synchronizer::start(store_synchronizer_callbacks callbacks) {
     callbacks_ = std::move(callbacks);
     start_due_reads();
-    schedule_check();
+    schedule_check(now() + check_period);
 }
 
 std::optional<reader_report> store_synchronizer::own_report() const {
@@ -215,8 +215,8 @@
     start_due_reads();
 }
 
-void store_synchronizer::schedule_check() {
-    check_timer_.expires_after(check_period);
+void store_synchronizer::schedule_check(mono_time at) {
+    check_timer_.expires_at(at);
     check_timer_.async_wait([this](const std::error_code& failure) {
         if (!failure) {
             run_check(next_check_);
@@ -232,7 +232,7 @@
     // difference in its listing.
     const bool too_early = is_configuration && now() < next_configuration_check_at_;
     if (sync_of(sync_, dataset).needs_full_read || too_early || !source_.is_reader) {
-        schedule_check();
+        schedule_check(now() + check_period);
         return;
     }
     checks_.add();
@@ -282,7 +282,8 @@
         case check_verdict::inconclusive:
             break;
     }
-    schedule_check();
+    // Counted from the start of this check, so that slow answers do not make verifications rarer.
+    schedule_check(std::max(now(), check_started_at_ + check_period));
 }
 
 void store_synchronizer::record_complete_check(store_dataset dataset, bool is_watching) {
--- a/apps/director/store_synchronizer.hpp
+++ b/apps/director/store_synchronizer.hpp
@@ -80,7 +80,7 @@
     void start_due_reads();
     void start_full_read(store_dataset dataset);
     void cancel_redundant_watch(store_dataset dataset);
-    void schedule_check();
+    void schedule_check(mono_time at);
     void run_check(store_dataset dataset);
     void check_configuration(const result<http_response>& response);
     void check_listing(const result<http_response>& response);
