--- a/libs/director/tests/director_fixture.hpp
+++ b/libs/director/tests/director_fixture.hpp
@@ -118,4 +118,17 @@
     return placed.tag;
 }
 
+/// Lets host i-2 answer a request of another flow within 20 ms, which shows the director that its own path is
+/// clear.
+inline void answer_from_other_host(director_state& state, const fleet_view& view, mono_time now) {
+    constexpr std::uint16_t port = 60000;
+    const auto tag = tag_of(2);
+    auto* entry = find_flow(state.flows, make_flow(port));
+    const std::uint32_t sequence = entry == nullptr ? 1001 : entry->sent_end_sequence;
+    const std::uint32_t acknowledged = entry == nullptr ? 5001 : entry->last_acknowledged;
+    (void)decide(state, view, make_request_packet(make_flow(port), tag, sequence, acknowledged),
+                 now - milliseconds{20});
+    (void)decide(state, view, make_ack_packet(make_flow(port), tag, acknowledged + 100), now);
+}
+
 }  // namespace guavaramp::director_fixture
