--- a/libs/director/include/guavaramp/director/update_relay.hpp
+++ b/libs/director/include/guavaramp/director/update_relay.hpp
@@ -31,10 +31,10 @@
 inline constexpr auto report_period = std::chrono::milliseconds{1100};
 /// How long a reader that is silent is relied on: one of its reports may be lost.
 inline constexpr auto report_validity = std::chrono::milliseconds{1500};
-/// How long after the time at which a reader verified its listing others rely on the reader. A change that
-/// the store confirms later may be missing at the reader and must be in force at all directors within 3 s;
-/// the rest of these is left for taking over from the reader, 0.4 s, a director's own read of the store, and
-/// the age of the cached answers with which readers verify their listing. Readers verify it in every second
+/// How long others rely on a reader after the reader has verified its listing. The reader may lack a change
+/// that the store confirms after that, and the change must be in force at all directors within 3 s. The
+/// remaining 1 s is for a takeover, 0.4 s at most, for a director's own read of the store, and for the age of
+/// the cached answers with which readers verify their listing. Readers verify it in every second
 /// `check_period`, and one report may be lost.
 inline constexpr auto verification_validity = std::chrono::milliseconds{2000};
 /// Time between two directors' attempts to take over from a reader: the transmission of a report inside a
--- a/libs/director/src/timeouts.cpp
+++ b/libs/director/src/timeouts.cpp
@@ -109,7 +109,7 @@
 }
 
 /// Returns the time at which the flows of a host that has answered no request since `unanswered_since` may be
-/// reset: no request that was sent to it before then is still worth an answer.
+/// reset. By then every request that was sent to it before `unanswered_since` has passed its time limit.
 mono_time stall_reset_due_at(const fleet_view& view, steering_tag tag, mono_time unanswered_since) {
     const auto* known = find_by_tag(*view.upstreams, tag);
     const auto time_limit = known == nullptr || view.routes == nullptr
