Show a drain that a director finds late by cached answers

Tried: 18 hosts; the store gives the only director of a zone no response for 5 s, and its cached answers are 3 s old; a host drains once all machines are in touch.

--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -185,10 +185,12 @@
 
 class Store:
     """The platform's metadata store. `silent_for` holds addresses of directors whose calls get no response;
-    `last_answer_at` has the time of the latest answer by caller and target."""
+    `last_answer_at` has the time of the latest answer by caller and target. Reads with `allow-stale` show the state of
+    `stale_s` ago."""
 
     def __init__(self, run):
         self.run, self.revision, self.items, self.history, self.leases = run, 1, {}, [], {}
+        self.stale_s, self.states = 0.0, [(time.monotonic(), 1, {})]
         self.next_lease, self.changed, self.silent_for, self.last_answer_at = 70001, asyncio.Event(), set(), {}
 
     def put(self, key, value, lease=0):
@@ -205,6 +207,8 @@
 
     def add_event(self, event):
         self.history.append(event)
+        if self.stale_s:
+            self.states.append((time.monotonic(), self.revision, dict(self.items)))
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -219,14 +223,25 @@
         for key in [key for key, item in self.items.items() if item["lease"] == lease]:
             self.delete(key)
 
+    def state_for(self, query):
+        """Returns the revision and the items that a read shows."""
+        if not self.stale_s or query.get("allow-stale") != "1":
+            return self.revision, self.items
+        until = time.monotonic() - self.stale_s
+        _, revision, items = max((state for state in self.states if state[0] <= until), default=self.states[0],
+                                 key=lambda state: state[1])
+        return revision, items
+
     async def answer(self, method, path, query, body):
         if path == "/v1/kv-key":
-            item = self.items.get(query["key"])
-            return (200, {**item, "current-rev": self.revision}) if item else (404, {})
+            revision, items = self.state_for(query)
+            item = items.get(query["key"])
+            return (200, {**item, "current-rev": revision}) if item else (404, {})
         if path == "/v1/kv-range":
-            items = [item for key, item in sorted(self.items.items())
+            revision, known = self.state_for(query)
+            items = [item for key, item in sorted(known.items())
                      if key.startswith(query["prefix"]) and key > query.get("after", "")]
-            return 200, {"items": items[:500], "has-more": len(items) > 500, "current-rev": self.revision}
+            return 200, {"items": items[:500], "has-more": len(items) > 500, "current-rev": revision}
         if path == "/v1/kv-watch":
             return await self.watch(query["prefix"], int(query["after"]), int(query["wait-ms"]) / 1000)
         if path == "/v1/kv-lease":
