--- a/review/10/case.py
+++ b/review/10/case.py
@@ -92,4 +92,4 @@
 
 
 if __name__ == "__main__":
-    run_case(FOLDER, [zone for zone, size in ZONE_SIZES.items() for _ in range(size)], play)
+    run_case(os.path.join(FOLDER, "record.txt"), [zone for zone, size in ZONE_SIZES.items() for _ in range(size)], play)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,7 +10,7 @@
 ZONE = "accra-central"
 STEADY, MOVED, ADDED = 8080, 8500, 8600
 IDLE_ROUTES = [(f"idle-{n:04}", 10000 + n, "dispatch") for n in range(8 + 3 * 350)]
-SILENT_S = 5.0
+SILENT_S = 2.0
 CONFIG_S, STABLE_S = BOUNDS["config-ms"] / 1000, BOUNDS["stable-window-ms"] / 1000
 
 
@@ -80,9 +80,11 @@
     run.store.silent_for.clear()
     served_again_at = run.now()
     run.note("store: serves all directors")
-    # The operator's next change comes after the director has compared its configuration with the store's once more.
+    # The operator's next change comes when the store has been without disturbance for the stable window, and after the
+    # director has compared its configuration with the store's once more.
+    await asyncio.sleep(STABLE_S)
     check = (target.address, "/v1/kv-key?key=op/config&allow-stale=1")
-    while run.trouble and run.store.last_answer_at.get(check, 0) < served_again_at + 1:
+    while run.trouble and run.store.last_answer_at.get(check, 0) < served_again_at + STABLE_S:
         await asyncio.sleep(0.05)
     await asyncio.sleep(0.3)
     confirmed_at = run.write_configuration(routes("reports", True, 3))
@@ -97,4 +99,4 @@
         task.cancel()
 
 
-run_case(FOLDER, [ZONE] * 3, play)
+run_case(os.path.join(FOLDER, "record.txt"), [ZONE] * 3, play)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -87,4 +87,4 @@
         task.cancel()
 
 
-run_case(FOLDER, ZONES, play)
+run_case(os.path.join(FOLDER, "record.txt"), ZONES, play)
--- a/review/oversized-packet/send.py
+++ b/review/oversized-packet/send.py
@@ -34,4 +34,4 @@
         run.break_rule("a process ends by itself", f"{director.address} ended with status {status}")
 
 
-stand_ins.run_case(FOLDER, ["accra-central"], play)
+stand_ins.run_case(os.path.join(FOLDER, "record.txt"), ["accra-central"], play)
