Let a director that hears no reader read the store, whatever its rank

Cause: a director without readers waited for its turn to become one and read nothing until then. The wait was a sum over the directors that rank before it, 250 ms for each from the ninth on while readers report that the store is lost. Evidence: the directors log `readers_lost` at once and read the store only when all are served again; `readers_lost` now says how many readers the store does not answer.

Change: at most eight directors take over by rank. Every other one that hears no reader makes a read of its own 0.4 to 0.7 s after the loss, at a time drawn from its address, and becomes a reader if the store answers; else it repeats that with one call every 2 s. Neither depends on the size of the failure domain. Related: the wait of 3 s after a failed read that relied on readers ends with the coverage.

StoreSyncTest.OwnReads* and .TheWaitAfterAFailedReadEndsWithTheCoverage test functions that are new.

--- a/apps/director/store_synchronizer.cpp
+++ b/apps/director/store_synchronizer.cpp
@@ -73,6 +73,8 @@
       restore_grace_timer_(io),
       full_reads_(context.counters.get("store_reads_total", "Readings of the platform's store", "whole")),
       cached_reads_(context.counters.get("store_reads_total", "Readings of the platform's store", "cached")),
+      own_reads_(context.counters.get(
+          "store_own_reads_total", "Readings of the store by a director that is no reader and hears none")),
       watches_(context.counters.get("store_reads_total", "Readings of the platform's store", "watch")),
       checks_(context.counters.get("store_reads_total", "Readings of the platform's store", "check")),
       missed_changes_(context.counters.get("watch_missed_changes_total",
@@ -176,6 +178,9 @@
 
 void store_synchronizer::set_update_source(const update_source& source) {
     const bool becomes_reader = source.is_reader && !source_.is_reader;
+    if (becomes_reader || (source_.coverage && !source.coverage)) {
+        record_coverage_loss(sync_, now());
+    }
     source_ = source;
     set_coverage_deadline(sync_, source.relies_on_readers_until);
     record_reader_role(sync_, source.is_reader, now());
@@ -483,7 +488,7 @@
     if (start_read_if_due(sync_, store_dataset::configuration, now(), due)) {
         due.kind = kind_in_latest_era(due);
         configuration_.read_started_at = now();
-        if (due.kind == read_kind::watch) {
+        if (due.kind == read_kind::watch || due.kind == read_kind::catch_up) {
             start_watch(due, operator_prefix, &store_synchronizer::on_configuration_watch);
         } else {
             read_configuration(due.kind);
@@ -819,6 +824,12 @@
     }
     publish_view();
     start_due_reads();
+    const bool is_own_read = !source_.is_reader && !source_.coverage;
+    const bool shows_newest_state = reading.kind != read_kind::full_cached;
+    if (is_own_read && shows_newest_state && reading.dataset == store_dataset::listing) {
+        own_reads_.add();
+        callbacks_.own_read_answered();
+    }
 }
 
 void store_synchronizer::publish_view() {
--- a/apps/director/store_synchronizer.hpp
+++ b/apps/director/store_synchronizer.hpp
@@ -26,6 +26,9 @@
     std::function<void(const std::optional<listing_delta>&)> announce;
     /// Called after each check that has found the listing complete.
     std::function<void()> listing_verified;
+    /// Called when the store has answered a read of the listing while this director is no reader and no
+    /// reader covers it.
+    std::function<void()> own_read_answered;
     /// Called when this director learns that the store was restored from a backup, with the store's new era.
     std::function<void(std::uint64_t)> store_restored;
 };
@@ -177,6 +180,7 @@
     bool newest_configuration_unreadable_{false};  ///< the routes in force are of an older one
     counter& full_reads_;
     counter& cached_reads_;
+    counter& own_reads_;
     counter& watches_;
     counter& checks_;
     counter& missed_changes_;
--- a/apps/director/update_exchange.cpp
+++ b/apps/director/update_exchange.cpp
@@ -147,6 +147,11 @@
     send_to(std::span{&sender, 1}, {.report = own_report(), .expected_incarnation = expected_incarnation});
 }
 
+void update_exchange::report_own_read() {
+    record_own_read(role_, now());
+    schedule_timer(refresh_source());
+}
+
 void update_exchange::discard_reports() {
     relay_.readers.clear();
     on_timer();
@@ -250,7 +255,7 @@
     }
     const auto relies_on_readers_until = role_.is_reader ? mono_time{}
                                          : coverage      ? coverage->until
-                                                         : next_role_update_at;
+                                                         : role_.own_read_at;
     source_ = {.is_reader = role_.is_reader,
                .relies_on_readers_until = relies_on_readers_until,
                .coverage = coverage};
@@ -262,17 +267,21 @@
 }
 
 /// Logs how old the evidence was on which this director has relied until now: the last report of a reader,
-/// and the last time at which a reader had found its listing complete.
+/// the last time at which a reader had found its listing complete, and how many readers have reported that
+/// the store does not answer them.
 void update_exchange::log_lost_coverage(mono_time time) const {
     mono_time heard_at{};
     mono_time verified_at{};
+    std::size_t readers_without_store = 0;
     for (const auto& [sender, reader] : relay_.readers) {
         heard_at = std::max(heard_at, reader.heard_at);
         verified_at = std::max(verified_at, reader.verified_at);
+        readers_without_store += reader.report.store_lost ? 1 : 0;
     }
     log_event(log_level::info, "readers_lost",
               {{"report_age_ms", std::to_string(age_ms(heard_at, time))},
-               {"verified_age_ms", std::to_string(age_ms(verified_at, time))}});
+               {"verified_age_ms", std::to_string(age_ms(verified_at, time))},
+               {"readers_without_store", std::to_string(readers_without_store)}});
 }
 
 void update_exchange::broadcast(const std::optional<listing_delta>& delta) {
--- a/apps/director/update_exchange.hpp
+++ b/apps/director/update_exchange.hpp
@@ -71,6 +71,10 @@
     /// If this director is a reader, reports to the other directors that it has verified its listing.
     void report_verification();
 
+    /// Records that the store has answered a read that this director made because it hears no reader. The
+    /// director becomes a reader if it was time for such a read.
+    void report_own_read();
+
     /// Discards the readers' reports, which are stale after the machine was suspended.
     void discard_reports();
 
--- a/libs/director/include/guavaramp/director/store_sync.hpp
+++ b/libs/director/include/guavaramp/director/store_sync.hpp
@@ -76,12 +76,19 @@
 /// the 3 s in which a change must be in force.
 inline constexpr auto behind_read_retry_wait = std::chrono::milliseconds{1000};
 
+/// Wait after a failed read of a director that is no reader and hears none. All directors of a failure domain
+/// make such reads while the store is down, so the wait bounds their calls; it ends within the 4 s after
+/// which a director that the store serves again must know every change.
+inline constexpr auto own_read_retry_wait = std::chrono::milliseconds{2000};
+
 /// How a dataset is read.
 enum class read_kind : std::uint8_t {
     full,         ///< reads everything, in its newest state
     full_cached,  ///< reads everything, maybe stale; enough if it shows a revision that readers have reported
-    catch_up,     ///< asks for the changes after a revision and waits only `catch_up_hold_limit` for them
-    watch         ///< waits up to `watch_hold_limit` for the next changes after a revision
+    /// Asks for the changes after a revision and waits only `catch_up_hold_limit` for them. Directors that
+    /// are no readers make no other reads of changes.
+    catch_up,
+    watch  ///< waits up to `watch_hold_limit` for the next changes after a revision
 };
 
 /// State of the reads of one dataset.
@@ -151,6 +158,10 @@
 /// Sets the deadline until which readers' reports take the place of watches. Not thread-safe.
 void set_coverage_deadline(store_sync& sync, mono_time until) noexcept;
 
+/// Records that no reader's report covers this director any more, or that it becomes a reader: a wait after a
+/// failed read that relied on the coverage ends. Not thread-safe.
+void record_coverage_loss(store_sync& sync, mono_time now) noexcept;
+
 /// Sets whether other directors rely on what this director reads. A director that becomes a reader and whose
 /// listing is not verified reads the full listing. Not thread-safe.
 void record_reader_role(store_sync& sync, bool is_reader, mono_time now) noexcept;
--- a/libs/director/include/guavaramp/director/update_relay.hpp
+++ b/libs/director/include/guavaramp/director/update_relay.hpp
@@ -33,21 +33,25 @@
 inline constexpr auto report_validity = std::chrono::milliseconds{1500};
 /// How long others rely on a reader after the reader has verified its listing. The reader may lack a change
 /// that the store confirms after that, and the change must be in force at all directors within 3 s. The
-/// remaining 1 s is for a takeover, 0.4 s at most, for a director's own read of the store, and for the age of
-/// the cached answers with which readers verify their listing. Readers verify it in every second
-/// `check_period`, and one report may be lost.
+/// remaining 1 s is for the wait for an own read, 0.7 s at most, for that read, and for the age of the cached
+/// answers with which readers verify their listing. Readers verify it in every second `check_period`, and one
+/// report may be lost.
 inline constexpr auto verification_validity = std::chrono::milliseconds{2000};
 /// Time between two directors' attempts to take over from a reader: the transmission of a report inside a
 /// failure domain and the receiver's wake-up, on a slow machine.
 inline constexpr auto takeover_interval = std::chrono::milliseconds{50};
-/// Takeover intervals that a director waits at most: directors that rank after that many others follow at
-/// once, unless the store does not answer those that have tried. With `verification_validity`, a director
-/// gets no updates for 2.4 s at most while the store answers.
+/// Takeover intervals that a director waits at most. While it hears one reader, a director that ranks after
+/// that many others follows at once, unless the store does not answer those that have tried. Without any
+/// reader, it reads the store for itself and takes over only if the store answers.
 inline constexpr std::ptrdiff_t max_takeover_intervals = 8;
-/// Once `max_takeover_intervals` directors have tried in vain, the store is probably unavailable for all, and
-/// each further director waits this much longer. Otherwise the whole failure domain would add to the load of
-/// a store that is down.
+/// While one reader is left, and once `max_takeover_intervals` directors have tried in vain to become the
+/// second one, each further director waits this much longer. The place is not urgent, and otherwise the whole
+/// failure domain would add to the load of a store that rejects most of its calls.
 inline constexpr auto slow_takeover_interval = std::chrono::milliseconds{250};
+/// Time over which the first own reads of a failure domain's directors are spread after the last takeover.
+/// The whole wait must not grow with the failure domain: the store may serve only the director that ranks
+/// last.
+inline constexpr auto own_read_spread = std::chrono::milliseconds{300};
 /// Wait before a director asks a reader for changes that it lacks: the parts of one change arrive together.
 inline constexpr auto change_request_wait = std::chrono::milliseconds{30};
 /// Longest time that a director waits for readers, when the store names none, before it becomes one itself.
@@ -109,6 +113,13 @@
     mono_time listening_until{mono_time::max()};
     /// Deadline until which the director does not become a reader while it hears one.
     mono_time one_reader_suffices_until{};
+    /// Time since which the director hears no reliable reader at all; `mono_time::max()` if it hears one.
+    mono_time uncovered_since{mono_time::max()};
+    /// When the director reads the store for itself, although it is no reader, because it hears no reliable
+    /// one; `mono_time::max()` if it hears one.
+    mono_time own_read_at{mono_time::max()};
+    /// The store has answered such a read, so the director can be a reader.
+    bool store_answers_own_reads{false};
 };
 
 /// Returns the time after which a director claims the place of a reader when the store names none: the cube
@@ -140,10 +151,15 @@
 /// Returns the update sockets of the readers that are relied on now. Not thread-safe.
 [[nodiscard]] std::vector<endpoint> reliable_readers(const update_relay& relay, mono_time now);
 
+/// Records that the store has answered a read that this director made for itself, although it is no reader.
+/// Does nothing before `own_read_at`: other reads do not show that a reader is missing. Not thread-safe.
+void record_own_read(reader_role& role, mono_time now) noexcept;
+
 /// Decides whether this director is a reader now. Directors are ranked. A reader gives way when it hears
 /// enough reliable readers that rank before it. When readers are missing, the directors that rank next take
-/// over one after the other, so that not all do. Returns when to decide again if no message arrives. Not
-/// thread-safe.
+/// over one after the other, so that not all do. The store may serve none of these. A director that hears no
+/// reader therefore reads the store for itself at `own_read_at`, whatever its rank, and takes over if the
+/// store answers. Returns when to decide again if no message arrives. Not thread-safe.
 [[nodiscard]] mono_time update_reader_role(reader_role& role, const update_relay& relay, const endpoint& self,
                                            std::span<const endpoint> others, mono_time now);
 
--- a/libs/director/src/fleet/store_sync.cpp
+++ b/libs/director/src/fleet/store_sync.cpp
@@ -28,14 +28,21 @@
     return dataset == store_dataset::listing && state.was_read && !state.verified;
 }
 
-/// Returns whether the first read of the configuration waits for that of the listing. Open flows can be
-/// forwarded as soon as the listing is known. If both were read at once while the whole fleet starts and the
-/// store's link is the bottleneck, each would take as long as the larger one.
+/// Returns whether a read of the configuration by a director that is no reader waits for one of the listing.
+/// The first one does: open flows can be forwarded as soon as the listing is known, and if both were read at
+/// once while the whole fleet starts and the store's link is the bottleneck, each would take as long as the
+/// larger one. So does one that readers' reports do not replace while the store does not answer: one call
+/// shows whether it does again.
 bool waits_for_listing(const store_sync& sync, store_dataset dataset) noexcept {
+    if (sync.is_reader || dataset != store_dataset::configuration) {
+        return false;
+    }
+    const auto& state = sync_of(sync, dataset);
     const auto& listing = sync_of(sync, store_dataset::listing);
-    const bool is_first = !sync_of(sync, dataset).was_read && !sync_of(sync, dataset).absent;
-    return !sync.is_reader && dataset == store_dataset::configuration && is_first &&
-           listing.read_in_progress && !listing.was_read && listing.consecutive_failures == 0;
+    if (!state.was_read && !state.absent) {
+        return listing.read_in_progress && !listing.was_read && listing.consecutive_failures == 0;
+    }
+    return listing.was_read && listing.consecutive_failures > 0 && !is_behind(state);
 }
 
 mono_time due_at(const store_sync& sync, store_dataset dataset) noexcept {
@@ -71,7 +78,7 @@
     }
     const bool relies_on_readers = is_covered(sync, state) && is_behind(state) && now < sync.covered_until;
     if (!relies_on_readers) {
-        return read_kind::watch;
+        return sync.is_reader ? read_kind::watch : read_kind::catch_up;
     }
     if (dataset == store_dataset::listing) {
         return state.catch_up_reads < max_catch_up_reads ? read_kind::catch_up : read_kind::full;
@@ -142,6 +149,12 @@
 
 void set_coverage_deadline(store_sync& sync, mono_time until) noexcept { sync.covered_until = until; }
 
+void record_coverage_loss(store_sync& sync, mono_time now) noexcept {
+    for (auto& state : sync.datasets) {
+        state.next_read_at = std::min(state.next_read_at, now + min_read_retry_wait);
+    }
+}
+
 void record_reader_role(store_sync& sync, bool is_reader, mono_time now) noexcept {
     sync.is_reader = is_reader;
     const auto& listing = sync_of(sync, store_dataset::listing);
@@ -169,8 +182,11 @@
     auto& state = sync_of(sync, dataset);
     state.read_in_progress = false;
     ++state.consecutive_failures;
+    const bool is_own_read = !sync.is_reader && state.was_read;
     const auto covered_wait = is_behind(state) ? behind_read_retry_wait : covered_read_retry_wait;
-    state.next_read_at = now + (covered ? covered_wait : retry_wait_after(state.consecutive_failures));
+    const auto uncovered_wait =
+        is_own_read ? own_read_retry_wait : retry_wait_after(state.consecutive_failures);
+    state.next_read_at = now + (covered ? covered_wait : uncovered_wait);
     state.needs_full_read = true;
     const bool is_first_failure =
         sync.store_available_since != mono_time::max() || state.consecutive_failures == 1;
--- a/libs/director/src/fleet/update_relay.cpp
+++ b/libs/director/src/fleet/update_relay.cpp
@@ -22,12 +22,37 @@
     return hash_bytes(std::as_bytes(std::span{director.address.bytes}), rank_seed + director.port);
 }
 
-/// Returns how long a director waits for others to take over when `position` directors rank before it for the
-/// missing places.
-std::chrono::milliseconds takeover_wait(std::ptrdiff_t position, bool store_lost) noexcept {
-    const auto steps = std::clamp<std::ptrdiff_t>(position, 0, max_takeover_intervals);
-    const auto slow_steps = store_lost ? std::max<std::ptrdiff_t>(position - max_takeover_intervals, 0) : 0;
-    return steps * takeover_interval + slow_steps * slow_takeover_interval;
+/// Returns the time at which a director takes over when `position` directors rank before it for the missing
+/// places; `mono_time::max()` if it does so only after an own read.
+mono_time takeover_at(const reader_role& role, std::ptrdiff_t position, bool hears_reader, bool store_lost) {
+    const auto fast_steps = std::clamp<std::ptrdiff_t>(position, 0, max_takeover_intervals);
+    const auto slow_steps = std::max<std::ptrdiff_t>(position - max_takeover_intervals, 0);
+    if (!hears_reader && position >= max_takeover_intervals) {
+        return mono_time::max();
+    }
+    const auto wait = fast_steps * takeover_interval +
+                      (store_lost ? slow_steps * slow_takeover_interval : std::chrono::milliseconds{0});
+    return std::max({role.listening_until, role.readers_missing_since + wait,
+                     hears_reader ? role.one_reader_suffices_until : mono_time{}});
+}
+
+/// Returns how long after the loss of all readers a director reads the store for itself. The time depends on
+/// the director's address alone, so that the reads of a failure domain are spread evenly.
+std::chrono::milliseconds own_read_wait(const endpoint& self) noexcept {
+    const auto spread = static_cast<std::int64_t>(
+        rank_of(self) % static_cast<std::uint64_t>(std::chrono::milliseconds{own_read_spread}.count()));
+    return max_takeover_intervals * takeover_interval + std::chrono::milliseconds{spread};
+}
+
+void update_own_read(reader_role& role, const endpoint& self, bool hears_reader, mono_time now) noexcept {
+    if (hears_reader) {
+        role.uncovered_since = mono_time::max();
+        role.own_read_at = mono_time::max();
+        role.store_answers_own_reads = false;
+        return;
+    }
+    role.uncovered_since = std::min(role.uncovered_since, now);
+    role.own_read_at = std::max(role.listening_until, role.uncovered_since + own_read_wait(self));
 }
 
 bool is_reliable(const known_reader& reader, mono_time now) noexcept { return now < reader.relied_on_until; }
@@ -106,6 +131,10 @@
         directors_before < readers_per_failure_domain ? now : now + report_period + max_report_delay;
 }
 
+void record_own_read(reader_role& role, mono_time now) noexcept {
+    role.store_answers_own_reads = role.store_answers_own_reads || now >= role.own_read_at;
+}
+
 mono_time update_reader_role(reader_role& role, const update_relay& relay, const endpoint& self,
                              std::span<const endpoint> others, mono_time now) {
     const auto own_rank = rank_of(self);
@@ -119,6 +148,8 @@
             next_decision_at = std::min(next_decision_at, reader.relied_on_until);
         }
     }
+    const bool hears_reader = next_decision_at != mono_time::max();
+    update_own_read(role, self, hears_reader, now);
     const auto missing_readers = readers_per_failure_domain - reliable_readers_before;
     if (missing_readers <= 0) {
         role.is_reader = false;
@@ -131,13 +162,15 @@
         const bool is_reliable_reader = heard != relay.readers.end() && is_reliable(heard->second, now);
         return !is_reliable_reader && rank_of(other) < own_rank;
     });
-    const bool hears_reader = next_decision_at != mono_time::max();
-    const auto takeover_at = std::max(
-        {role.listening_until,
-         role.readers_missing_since + takeover_wait(candidates_before - missing_readers + 1, store_lost),
-         hears_reader ? role.one_reader_suffices_until : mono_time{}});
-    role.is_reader = role.is_reader || now >= takeover_at;
-    return role.is_reader ? next_decision_at : std::min(next_decision_at, takeover_at);
+    const auto position = candidates_before - missing_readers + 1;
+    const auto due_at =
+        role.store_answers_own_reads ? now : takeover_at(role, position, hears_reader, store_lost);
+    role.is_reader = role.is_reader || now >= due_at;
+    if (role.is_reader) {
+        return next_decision_at;
+    }
+    const auto next_own_read_at = role.own_read_at > now ? role.own_read_at : mono_time::max();
+    return std::min({next_decision_at, due_at, next_own_read_at});
 }
 
 std::vector<endpoint> reliable_readers(const update_relay& relay, mono_time now) {
--- a/libs/director/tests/store_sync_test.cpp
+++ b/libs/director/tests/store_sync_test.cpp
@@ -238,6 +238,53 @@
     CHECK(start_read(sync, store_dataset::listing, 10).kind == read_kind::full);
 }
 
+// --- Own reads --------------------------------------------------------------------------------------------
+
+/// Returns the state of a director that is no reader and whose coverage has ended.
+store_sync uncovered_sync(std::int64_t own_read_at_ms) {
+    auto sync = covered_sync(own_read_at_ms);
+    record_reader_role(sync, false, at_ms(4));
+    return sync;
+}
+
+// Guards against a watch that is held for seconds where the answer decides whether this director takes over.
+TEST_CASE("StoreSyncTest.OwnReadsAskForChangesAndWaitBriefly") {
+    auto sync = uncovered_sync(1500);
+    due_read due{};
+    CHECK_FALSE(start_read_if_due(sync, store_dataset::listing, at_ms(1499), due));
+    CHECK(start_read(sync, store_dataset::listing, 1500).kind == read_kind::catch_up);
+    CHECK(start_read(sync, store_dataset::configuration, 1500).kind == read_kind::catch_up);
+}
+
+// Load pattern: the store is down for a whole failure domain. Guards against calls of each of its directors
+// twice a second and for both datasets.
+TEST_CASE("StoreSyncTest.OwnReadsOfAStoreThatDoesNotAnswerAreRareAndOfTheListingAlone") {
+    auto sync = uncovered_sync(1500);
+    (void)start_read(sync, store_dataset::listing, 1500);
+    (void)start_read(sync, store_dataset::configuration, 1500);
+    (void)record_read_failure(sync, store_dataset::listing, false, at_ms(1504));
+    (void)record_read_failure(sync, store_dataset::configuration, false, at_ms(1504));
+    CHECK(earliest_read_at(sync) == at_ms(1504) + own_read_retry_wait);
+    due_read due{};
+    CHECK_FALSE(start_read_if_due(sync, store_dataset::configuration, at_ms(60'000), due));
+    const auto listing = start_read(sync, store_dataset::listing, 60'000);
+    record_read(sync, listing, at_ms(60'000), at_ms(60'004));
+    CHECK(start_read_if_due(sync, store_dataset::configuration, at_ms(60'004), due));
+}
+
+// Guards against a director whose wait after a failed read, which relied on readers, goes on after they are
+// lost: its next read came up to 3 s later.
+TEST_CASE("StoreSyncTest.TheWaitAfterAFailedReadEndsWithTheCoverage") {
+    auto sync = covered_sync(100'000);
+    request_full_read(sync, store_dataset::listing, at_ms(1000));
+    (void)start_read(sync, store_dataset::listing, 1000);
+    (void)record_read_failure(sync, store_dataset::listing, true, at_ms(1004));
+    REQUIRE(sync_of(sync, store_dataset::listing).next_read_at == at_ms(1004) + covered_read_retry_wait);
+    record_coverage_loss(sync, at_ms(1100));
+    set_coverage_deadline(sync, at_ms(1600));
+    CHECK(start_read(sync, store_dataset::listing, 1600).kind == read_kind::full);
+}
+
 // --- Starts of many directors -----------------------------------------------------------------------------
 
 /// Returns the state of a director that has just started and is no reader.
