Hold watches for 2 s, so that one that is never answered is replaced in time

Cause: a watch that is sent while the store gives no response is never answered, and the store could hold back the answer to a watch for 20 s, so the director waited 20.7 s for it. Only an answer shows that a watch lives. The check that was to find a lost one is put off by the size of the configuration and reads cached answers. Evidence: the record shows the watch with wait-ms=20000 that got no response, and one `watch_missed_change` after the change.

Change: a watch is held for 2 s at most. It is given up and followed by a read 2.8 s after it was sent, whatever the size of the configuration, the listing or the failure domain. A check against a cached answer no longer extends the time for which the routes count as the newest.

Red before: StoreSyncTest.AWatchThatIsNeverAnsweredIsReplacedInTimeForAChange, for both datasets.

--- a/apps/director/store_synchronizer.cpp
+++ b/apps/director/store_synchronizer.cpp
@@ -437,7 +437,7 @@
             start_full_read(dataset);
             break;
         case check_verdict::complete:
-            record_complete_check(dataset, is_watching);
+            record_complete_check(dataset);
             break;
         case check_verdict::inconclusive:
             break;
@@ -446,14 +446,13 @@
     schedule_check(std::max(now(), check_started_at_ + check_period));
 }
 
-void store_synchronizer::record_complete_check(store_dataset dataset, bool is_watching) {
+void store_synchronizer::record_complete_check(store_dataset dataset) {
+    // A cached answer may be older than the newest configuration, so it does not show that the routes are
+    // current.
     if (dataset == store_dataset::listing) {
         listing_verified_at_ = std::max(listing_verified_at_, check_started_at_);
         publish_view();
         callbacks_.listing_verified();
-    } else if (is_watching) {
-        routes_current_until_ = now() + watch_hold_limit + read_stall_timeout;
-        publish_view();
     }
 }
 
--- a/apps/director/store_synchronizer.hpp
+++ b/apps/director/store_synchronizer.hpp
@@ -107,7 +107,7 @@
     void check_configuration(const result<http_response>& response);
     void check_listing(const result<http_response>& response);
     void finish_check(store_dataset dataset, bool answered, bool has_missed_change);
-    void record_complete_check(store_dataset dataset, bool is_watching);
+    void record_complete_check(store_dataset dataset);
     void read_configuration(read_kind kind);
     void on_configuration_read(read_kind kind, const result<http_response>& response);
     void on_configuration_watch(const result<http_response>& response);
--- a/libs/director/include/guavaramp/director/store_sync.hpp
+++ b/libs/director/include/guavaramp/director/store_sync.hpp
@@ -22,10 +22,11 @@
 /// others, so the store usually has what is missing; the wait covers a change that reached the others through
 /// another part of the store.
 inline constexpr auto catch_up_hold_limit = std::chrono::milliseconds{200};
-/// How long the store may hold back its answer to a watch when nothing has changed. Each answer is a call
-/// that is paid for. A connection that has gone silent is found by TCP keep-alive probes and not by this
-/// limit.
-inline constexpr auto watch_hold_limit = std::chrono::milliseconds{20000};
+/// How long the store may hold back its answer to a watch when nothing has changed. Only an answer shows that
+/// a watch still lives: one that was sent while the store gave no response may never get one, although the
+/// store's machine answers keep-alive probes and new calls. With `read_stall_timeout` and the wait before the
+/// next read, such a watch is replaced within the 3 s in which a change must be in force.
+inline constexpr auto watch_hold_limit = std::chrono::milliseconds{2000};
 /// Least time between the starts of two watches of the configuration. It bounds the calls and the bytes that
 /// a series of changes causes, and is a third of the 3 s in which a change must be in force.
 inline constexpr auto min_configuration_watch_period = std::chrono::milliseconds{1000};
@@ -34,9 +35,8 @@
 /// for a read that fails.
 inline constexpr auto min_listing_watch_period = std::chrono::milliseconds{1500};
 /// Period of checking the two datasets, in turn, against cached reads, which cost a tenth of a read of the
-/// newest state. A watch can miss a change without an error when the store drops its history, or wait on a
-/// connection that delivers nothing more. With this period a missed change is found within half of the 3 s in
-/// which a drain must be in force, and one of two reports about a check may be lost within `report_validity`.
+/// newest state. A watch can miss a change without an error when the store drops its history. With this
+/// period one of two reports about a check may be lost within `report_validity`.
 inline constexpr auto check_period = std::chrono::milliseconds{700};
 /// Limit of the bytes per second that checks of the configuration take: 4% of the slowest link, 10 Mbit/s.
 inline constexpr std::int64_t max_configuration_check_bytes_per_s = 48'000;
--- a/libs/director/tests/store_sync_test.cpp
+++ b/libs/director/tests/store_sync_test.cpp
@@ -39,6 +39,21 @@
     CHECK(start_read(sync, store_dataset::listing, 600).kind == read_kind::full);
 }
 
+// Guards against a watch that was sent while the store gave no response, is never answered, and hides changes
+// for as long as it may be held (review case 6: a configuration in force 6.6 s after its confirmation).
+TEST_CASE("StoreSyncTest.AWatchThatIsNeverAnsweredIsReplacedInTimeForAChange") {
+    constexpr std::int64_t change_bound_ms = 3000;
+    for (const auto dataset : {store_dataset::configuration, store_dataset::listing}) {
+        store_sync sync;
+        record_read(sync, start_read(sync, dataset, 0), at_ms(0), at_ms(4));
+        const auto watch = start_read(sync, dataset, 4);
+        REQUIRE(watch.kind == read_kind::watch);
+        const auto given_up_at = limits_of(watch.kind, at_ms(4)).first_byte_deadline;
+        (void)record_read_failure(sync, dataset, false, given_up_at);
+        CHECK(sync_of(sync, dataset).next_read_at < at_ms(change_bound_ms));
+    }
+}
+
 TEST_CASE("StoreSyncTest.RetryWaitDoublesUpToALimit") {
     store_sync sync;
     std::int64_t now_ms = 0;
