Show an open flow of a new route that a director of another zone resets

A planned stop hands the flow to a director that does not know its route yet, within the bound of the configuration.

--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -194,13 +194,14 @@
         finally:
             self.waiting.remove(entry)
 
-    def cut_watches(self, prefix):
-        """Cuts all watches of `prefix` that are waiting: closes their connections without an answer."""
-        cut = [entry for entry in self.waiting if entry[1] == prefix]
+    def cut_watches(self, prefix, directors=None):
+        """Cuts the watches of `prefix` that are waiting, of all directors or of those with the given numbers: closes their
+        connections without an answer."""
+        cut = [entry for entry in self.waiting if entry[1] == prefix and (directors is None or entry[0] in directors)]
         for number, _, since, writer in cut:
             self.case.log(f"store cuts the watch of {prefix} by director {number + 1}, "
                           f"which has waited {time.monotonic() - since:.3f} s")
-            writer.transport.abort() if os.environ.get("CUT") == "reset" else writer.close()
+            writer.close()
         return len(cut)
 
     async def serve(self, number, reader, writer):
@@ -561,8 +562,5 @@
         case.log(f"could not run: {failure}")
         print(f"could not run: {failure}", file=sys.stderr)
     finally:
-        if os.environ.get("KEEP"):
-            for director in case.directors:
-                shutil.copy(director.log_path, f"/tmp/rv/{director.number}.log")
         case.close()
     sys.exit(status)
