--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -112,6 +112,7 @@
         self.next_lease, self.changed, self.stale_s = 70001, asyncio.Event(), 0.2
         self.states = [(time.monotonic(), 100, {})]  # of the past, for stale answers
         self.waiting = []                            # watches: [director, prefix, since, connection]
+        self.is_away = False                         # each call is answered with 503
 
     async def start(self, directors):
         for number in range(directors):
@@ -204,6 +205,18 @@
             writer.close()
         return len(cut)
 
+    async def go_away(self, seconds, lapsed):
+        """Answers each call with 503 for a while; meanwhile the entries with the keys `lapsed` expire."""
+        self.case.log(f"store is away for {seconds} s")
+        self.is_away = True
+        for *_, writer in list(self.waiting):
+            writer.close()
+        await asyncio.sleep(seconds)
+        for key in lapsed:
+            self.delete(key)
+        self.is_away = False
+        self.case.log(f"store is back, without {len(lapsed)} entries that have expired")
+
     async def serve(self, number, reader, writer):
         try:
             while True:
@@ -215,7 +228,7 @@
                 query = dict(part.split("=", 1) for part in text.split("&")) if text else {}
                 self.case.log(f"director {number + 1} calls {method} {target}")
                 await asyncio.sleep(STORE_ANSWER_S)
-                status, answer = await self.answer(number, path, query, body, writer)
+                status, answer = await self.answer(number, path, query, body, writer) if not self.is_away else (503, {})
                 data = json.dumps(answer).encode()
                 if writer.is_closing():
                     return
@@ -264,6 +277,8 @@
 
     def check_in(self):
         """Writes the host's entry. The store's entry changes only if more than its sequence does."""
+        if self.store.is_away:
+            return
         self.sequence += 1
         try:
             stored = json.loads(base64.b64decode(self.store.items[self.key]["value"]))
