Reset an open flow for its route only on newer evidence than the flow

The flow's route had been confirmed 1.0 to 1.3 s before.

Cause: a packet without a matching route was reset while `routes_fresh_until` lasted. That deadline shows that a reader will tell of a new version in time, and nothing about versions confirmed since the last verification. It is enough for opening packets and not for open flows.

Change: `fleet_view::routes_as_of` dates the routes by this director's own reads of the newest state. An open flow without a route is forwarded by its tag and is reset once the routes are dated later than its first packet here. A director that relies on readers asks the store for changes meanwhile, at most once a second. `packet_decided` states the age, and a counter shows such packets.

--- a/apps/director/control_thread.cpp
+++ b/apps/director/control_thread.cpp
@@ -169,6 +169,9 @@
         if (context_.listing_refresh_requested.exchange(false)) {
             store_.refresh_listing();
         }
+        if (context_.routes_refresh_requested.exchange(false)) {
+            store_.refresh_configuration();
+        }
         check_for_suspension();
         write_log_records();
     }
@@ -212,6 +215,7 @@
                    {"reason", std::string{to_string(decided.reason)}},
                    {"upstream", store_.upstream_name(steering_tag{decided.tag})},
                    {"configuration", std::to_string(decided.configuration_version)},
+                   {"configuration_age_ms", std::to_string(age_ms(decided.routes_as_of, decided.decided_at))},
                    {"listing_age_ms", std::to_string(age_ms(decided.listing_as_of, decided.decided_at))},
                    {"logged_after_ms", std::to_string(age_ms(decided.decided_at, time))}});
     }
--- a/apps/director/director_context.hpp
+++ b/apps/director/director_context.hpp
@@ -25,6 +25,7 @@
     decision_reason reason{decision_reason::no_configuration};
     std::uint32_t tag{0};
     std::uint64_t configuration_version{0};
+    mono_time routes_as_of{};   ///< every configuration confirmed by the store before this time was known
     mono_time listing_as_of{};  ///< every change confirmed by the store before this time was known
     mono_time decided_at{};
     std::array<char, 40> request_id{};  ///< NUL-terminated; empty if the packet has no request id
@@ -84,6 +85,8 @@
     spsc_ring<stall_record> stall_records{log_ring_capacity};
     std::atomic<bool> listing_refresh_requested{
         false};  ///< a packet has a tag that only a newer listing may explain
+    std::atomic<bool> routes_refresh_requested{
+        false};  ///< a packet of an open flow matches no route, which only newer routes may explain
     std::atomic<bool> planned_stop_started{false};  ///< readiness checks fail from now on
     std::atomic<bool> threads_must_exit{false};     ///< tells the threads to end
     std::atomic<std::int64_t> last_packet_ms{0};    ///< arrival time of the last packet, steady clock
--- a/apps/director/packet_thread.cpp
+++ b/apps/director/packet_thread.cpp
@@ -235,6 +235,10 @@
         if (decided.reason == decision_reason::unknown_tag_unconfirmed) {
             context_.listing_refresh_requested = true;
         }
+        if (decided.needs_newer_routes) {
+            forwarded_without_route_.add();
+            context_.routes_refresh_requested = true;
+        }
         if (decided.probe_target != nullptr) {
             start_probe(*decided.probe_target, time);
         }
@@ -397,6 +401,7 @@
     /// it was based on.
     void queue_decision_record(decision_record record, mono_time time) {
         record.configuration_version = view_->routes == nullptr ? 0 : view_->routes->version;
+        record.routes_as_of = view_->routes_as_of;
         record.listing_as_of = view_->listing_as_of;
         record.decided_at = time;
         if (!context_.decision_records.push(record)) {
@@ -545,6 +550,9 @@
                               "Packets that were handed to a neighbour, without a verdict of their own")};
     counter& dropped_held_packets_{
         context_.counters.get("packets_held_dropped_total", "Those that waited too long or were too many")};
+    counter& forwarded_without_route_{context_.counters.get(
+        "packets_forwarded_without_route_total",
+        "Packets of open flows whose route may be newer than the configuration in force")};
     counter& placed_in_other_domain_{context_.counters.get(
         "flows_placed_in_other_domain_total", "New flows that went to a host of another failure domain")};
     counter& services_with_kept_hosts_{context_.counters.get(
--- a/apps/director/store_synchronizer.cpp
+++ b/apps/director/store_synchronizer.cpp
@@ -250,6 +250,11 @@
     }
 }
 
+void store_synchronizer::refresh_configuration() {
+    request_verification(sync_, store_dataset::configuration);
+    start_due_reads();
+}
+
 void store_synchronizer::start_full_read(store_dataset dataset) {
     auto& state = sync_of(sync_, dataset);
     if (state.needs_full_read) {
@@ -602,6 +607,7 @@
     }
     const auto version = decoded->configuration.version;
     const auto earlier = view_.routes == nullptr ? 0 : view_.routes->version;
+    newest_configuration_refused_ = version < earlier;
     if (version <= earlier) {
         log_event(log_level::warning, "configuration_not_newer",
                   {{"version", std::to_string(version)}, {"in_force", std::to_string(earlier)}});
@@ -869,10 +875,14 @@
     const auto reported_revision = uses_coverage ? source_.coverage->configuration_revision : 0;
     const bool is_newest = reported_revision != 0 && reported_revision <= configuration_revision_;
     view_.routes_fresh_until = is_newest ? source_.coverage->until : routes_current_until_;
+    view_.routes_as_of = sync_of(sync_, store_dataset::configuration).verified_at;
     if (newest_configuration_unreadable_) {
         // The routes in force are older than the store's configuration, so a missing route proves nothing.
         view_.routes_fresh_until = mono_time{};
     }
+    if (newest_configuration_unreadable_ || newest_configuration_refused_) {
+        view_.routes_as_of = mono_time{};
+    }
     auto published = view_;
     if (uses_evacuations()) {
         withhold_routes_until_known(published, evacuations_);
--- a/apps/director/store_synchronizer.hpp
+++ b/apps/director/store_synchronizer.hpp
@@ -75,6 +75,10 @@
     /// the last read started less than 1 s ago.
     void refresh_listing();
 
+    /// Asks the store whether the configuration has changed, because a packet of an open flow matches no
+    /// route. The read starts at most once per `min_watch_period`, and later after a failure.
+    void refresh_configuration();
+
     /// Returns the id of the upstream with `tag` for log lines, or the tag as a number if no such upstream is
     /// known.
     [[nodiscard]] std::string upstream_name(steering_tag tag) const;
@@ -188,6 +192,8 @@
     asio::steady_timer restore_grace_timer_;
     mono_time restore_grace_until_{};  ///< until then upstreams that a restored store lacks take new flows
     bool newest_configuration_unreadable_{false};  ///< the routes in force are of an older one
+    /// The version in force is higher than that of the store's newest configuration, as after a restore.
+    bool newest_configuration_refused_{false};
     counter& full_reads_;
     counter& cached_reads_;
     counter& own_reads_;
--- a/libs/director/include/guavaramp/director/director.hpp
+++ b/libs/director/include/guavaramp/director/director.hpp
@@ -38,8 +38,12 @@
     /// Time at which a reader of the store last found `upstreams` complete. Unlike `listing_as_of`, this may
     /// come from a cached answer of the store or from another director's report.
     mono_time listing_verified_at{};
-    /// Deadline until which `routes` counts as the newest version.
+    /// Deadline until which `routes` counts as the newest version for opening packets.
     mono_time routes_fresh_until{};
+    /// `routes` contains every version that the store confirmed before this time. Like `listing_as_of`, it
+    /// comes from this director's own reads of the newest state alone: another director's report may have
+    /// waited in the socket for longer than the age that it states.
+    mono_time routes_as_of{};
     /// Start of the period in which the store has answered every call; `mono_time::max()` while the store
     /// does not answer.
     mono_time store_available_since{mono_time::max()};
@@ -95,6 +99,9 @@
     steering_tag tag{no_tag};  ///< written into a forwarded packet
     /// Send time of the request that this packet shows to be answered; the epoch if the packet shows none.
     mono_time answered_request_sent_at{};
+    /// No route matches the packet of an open flow, and only a configuration that is read now can show
+    /// whether the flow's route exists. The caller of `decide` should have it read.
+    bool needs_newer_routes{false};
     /// A suspected upstream that the caller of `decide` should probe now; null if there is none.
     const known_upstream* probe_target{nullptr};
     std::optional<host_observation> observation;  ///< to be sent to all directors of the failure domain
@@ -212,7 +219,11 @@
 
 /// Decides what happens to a caller's packet, and updates the flow cache and the host's health from it. If
 /// `can_decide` is false for it, the verdict is to drop the packet, or to reset the flow if no route matches
-/// and the routes are fresh. Precondition: `now` is never earlier than in a previous call. Not thread-safe.
+/// and the routes are fresh.
+///
+/// A packet of an open flow that matches no route goes to its host by its tag, because the route may be newer
+/// than `view.routes`. The flow is reset once the routes are known to be newer than the flow's first packet
+/// here. Precondition: `now` is never earlier than in a previous call. Not thread-safe.
 [[nodiscard]] decision decide(director_state& state, const fleet_view& view, const flow_packet& packet,
                               mono_time now);
 
--- a/libs/director/include/guavaramp/director/flow_cache.hpp
+++ b/libs/director/include/guavaramp/director/flow_cache.hpp
@@ -18,6 +18,9 @@
     std::uint32_t opening_sequence{0};
     std::uint32_t last_acknowledged{0};
     std::uint32_t sent_end_sequence{0};  ///< sequence number after the last byte of the caller seen so far
+    /// Time of the flow's first packet that this director has seen. The flow may have been opened earlier,
+    /// through another director, and never later.
+    mono_time first_seen_at{};
     mono_time last_seen_at{};
     /// Time at which the caller first sent the data that is unanswered now, or at which its opening packet
     /// was last placed; the epoch if nothing is unanswered.
--- a/libs/director/include/guavaramp/director/store_sync.hpp
+++ b/libs/director/include/guavaramp/director/store_sync.hpp
@@ -206,6 +206,11 @@
 /// Records that the read of `dataset` in progress was cancelled. Not thread-safe.
 void record_cancelled_read(store_sync& sync, store_dataset dataset, mono_time now) noexcept;
 
+/// Makes the next read of `dataset` start as soon as its least period or the wait after a failure allows,
+/// although readers' reports cover the dataset. A read in progress takes the place of the requested one. Does
+/// nothing before the first read. Not thread-safe.
+void request_verification(store_sync& sync, store_dataset dataset) noexcept;
+
 /// Makes the next read of `dataset` a full one that starts at `at`. Precondition: no read of it is in
 /// progress. Not thread-safe.
 void request_full_read(store_sync& sync, store_dataset dataset, mono_time at) noexcept;
--- a/libs/director/src/fleet/store_sync.cpp
+++ b/libs/director/src/fleet/store_sync.cpp
@@ -245,6 +245,11 @@
     request_full_read(sync, dataset, now + min_read_retry_wait);
 }
 
+void request_verification(store_sync& sync, store_dataset dataset) noexcept {
+    auto& state = sync_of(sync, dataset);
+    state.read_requested = state.read_requested || state.was_read;
+}
+
 void request_full_read(store_sync& sync, store_dataset dataset, mono_time at) noexcept {
     auto& state = sync_of(sync, dataset);
     state.needs_full_read = true;
--- a/libs/director/src/forwarding/director.cpp
+++ b/libs/director/src/forwarding/director.cpp
@@ -58,7 +58,7 @@
     return static_cast<std::int32_t>(later - earlier) > 0;
 }
 
-decision decide_without_route(const fleet_view& view, const flow_packet& packet, mono_time now) {
+decision decide_opening_without_route(const fleet_view& view, const flow_packet& packet, mono_time now) {
     // A route that was added a moment ago may not have arrived here yet. Dropping the packet makes the caller
     // retransmit it, and the retransmission may find the route.
     if (now >= view.routes_fresh_until) {
@@ -192,6 +192,7 @@
              {.tag = tag,
               .opening_sequence = packet.sequence,
               .sent_end_sequence = packet.sequence + 1,
+              .first_seen_at = now,
               .last_seen_at = now,
               .unanswered_since = now});
     auto decided = forward(*chosen, tag, decision_reason::placed);
@@ -243,6 +244,7 @@
                         {.tag = packet.tag,
                          .last_acknowledged = packet.acknowledgement,
                          .sent_end_sequence = packet.sequence,
+                         .first_seen_at = now,
                          .last_seen_at = now,
                          .established = true});
     }
@@ -354,6 +356,21 @@
     return decided;
 }
 
+/// Decides a packet of an open flow that matches no route. Another director may have opened the flow on a
+/// route that is newer than the routes here, so the flow is forwarded until newer routes lack its route too.
+decision decide_established_without_route(director_state& state, const fleet_view& view,
+                                          const flow_packet& packet, mono_time now) {
+    auto* entry = find_flow(state.flows, packet.flow);
+    if (entry != nullptr && view.routes_as_of > entry->first_seen_at) {
+        // The entry stays, so that a caller that does not get the reset is reset again at its next packet.
+        close_flow(state.flows, *entry);
+        return reset(packet, decision_reason::no_route);
+    }
+    auto decided = decide_established_packet(state, view, nullptr, packet, now);
+    decided.needs_newer_routes = decided.outcome == verdict::forward;
+    return decided;
+}
+
 }  // namespace
 
 std::string_view to_string(verdict value) noexcept {
@@ -385,9 +402,12 @@
                                         : drop(decision_reason::no_configuration);
     }
     const auto* matched = find_route(*view.routes, packet.flow);
+    if (matched == nullptr && !packet.is_syn) {
+        return decide_established_without_route(state, view, packet, now);
+    }
     if (matched == nullptr) {
         remove_flow(state.flows, packet.flow);
-        return decide_without_route(view, packet, now);
+        return decide_opening_without_route(view, packet, now);
     }
     if (packet.is_syn) {
         return decide_opening_packet(state, view, *matched, packet, now);
@@ -421,6 +441,7 @@
 
 fleet_view make_stale_view(fleet_view view) {
     view.routes_fresh_until = mono_time{};
+    view.routes_as_of = mono_time{};
     view.store_available_since = mono_time::max();
     view.listing_as_of = mono_time{};
     view.listing_verified_at = mono_time{};
--- a/libs/director/tests/director_fixture.hpp
+++ b/libs/director/tests/director_fixture.hpp
@@ -77,6 +77,7 @@
             .listing_as_of = at_ms(-5000),
             .listing_verified_at = at_ms(1'000'000),
             .routes_fresh_until = at_ms(1'000'000),
+            .routes_as_of = at_ms(1'000'000),
             .store_available_since = at_ms(-60'000)};
 }
 
--- a/libs/director/tests/director_test.cpp
+++ b/libs/director/tests/director_test.cpp
@@ -127,6 +127,79 @@
           decision_reason::no_route);
 }
 
+/// Returns a view whose configuration has no routes, and which has every version confirmed before `as_of`.
+fleet_view make_view_without_routes(const upstream_directory& directory, mono_time as_of) {
+    auto view = make_view(directory, {.version = 8, .routes = {}});
+    view.routes_as_of = as_of;
+    return view;
+}
+
+// Guards against resets of open flows whose route was confirmed after this director last verified its
+// configuration, and that a planned stop hands over from another failure domain (review case 13).
+TEST_CASE("DirectorTest.ForwardsAnOpenFlowWhoseRouteMayBeNewerThanTheConfiguration") {
+    director_state state;
+    const auto directory = make_directory(make_reports(1));
+    const auto view = make_view_without_routes(directory, at_ms(-1));
+    REQUIRE(view.routes_fresh_until > at_ms(2000));
+    for (const auto now_ms : {0, 10, 2000}) {
+        const auto decided = decide(state, view, make_request_packet(make_flow(), tag_of(1)), at_ms(now_ms));
+        REQUIRE(decided.outcome == verdict::forward);
+        CHECK(decided.target->report.id == "i-1");
+        CHECK(decided.needs_newer_routes);
+    }
+    CHECK(decide(state, view, make_opening_packet(make_flow(2)), at_ms(2000)).outcome == verdict::reset);
+}
+
+TEST_CASE("DirectorTest.ResetsAnOpenFlowOnceANewerConfigurationLacksItsRoute") {
+    director_state state;
+    const auto directory = make_directory(make_reports(1));
+    const auto packet = make_request_packet(make_flow(), tag_of(1));
+    (void)decide(state, make_view_without_routes(directory, at_ms(-1)), packet, at_ms(0));
+    CHECK(decide(state, make_view_without_routes(directory, at_ms(0)), packet, at_ms(500)).outcome ==
+          verdict::forward);
+    const auto decided = decide(state, make_view_without_routes(directory, at_ms(1)), packet, at_ms(510));
+    CHECK(decided.outcome == verdict::reset);
+    CHECK(decided.reason == decision_reason::no_route);
+    CHECK(decide(state, make_view_without_routes(directory, at_ms(1)), packet, at_ms(710)).outcome ==
+          verdict::reset);
+    CHECK(load_of(state.flows, tag_of(1)).open_flows == 0);
+}
+
+// Guards against a configuration that shows a first flow's route to be missing, and then resets flows of a
+// route that was confirmed after it.
+TEST_CASE("DirectorTest.AConfigurationShowsNothingAboutFlowsThatWereSeenAfterIt") {
+    director_state state;
+    const auto directory = make_directory(make_reports(1));
+    const auto view = make_view_without_routes(directory, at_ms(100));
+    (void)decide(state, view, make_request_packet(make_flow(), tag_of(1)), at_ms(0));
+    CHECK(decide(state, view, make_request_packet(make_flow(), tag_of(1)), at_ms(110)).outcome ==
+          verdict::reset);
+    CHECK(decide(state, view, make_request_packet(make_flow(2), tag_of(1)), at_ms(110)).outcome ==
+          verdict::forward);
+}
+
+TEST_CASE("DirectorTest.ForwardsAnOpenFlowWhoseRouteIsKnownAfterAll") {
+    director_state state;
+    const auto directory = make_directory(make_reports(1));
+    const auto packet = make_request_packet(make_flow(), tag_of(1));
+    (void)decide(state, make_view_without_routes(directory, at_ms(-1)), packet, at_ms(0));
+    const auto decided = decide(state, make_view(directory), packet, at_ms(200));
+    CHECK(decided.outcome == verdict::forward);
+    CHECK_FALSE(decided.needs_newer_routes);
+}
+
+// Guards against resets by a director that was suspended: what it knew before shows nothing about later
+// flows.
+TEST_CASE("DirectorTest.AStaleViewResetsNoFlowForItsRoute") {
+    director_state state;
+    const auto directory = make_directory(make_reports(1));
+    const auto view = make_stale_view(make_view(directory, {.version = 8, .routes = {}}));
+    CHECK(decide(state, view, make_request_packet(make_flow(), tag_of(1)), at_ms(0)).outcome ==
+          verdict::forward);
+    CHECK(decide(state, view, make_request_packet(make_flow(), tag_of(1)), at_ms(5000)).outcome ==
+          verdict::forward);
+}
+
 // Guards against two ends that answer each other's resets with resets for ever.
 TEST_CASE("DirectorTest.DropsAResetInsteadOfAnsweringIt") {
     director_state state;
--- a/libs/director/tests/store_sync_test.cpp
+++ b/libs/director/tests/store_sync_test.cpp
@@ -313,6 +313,27 @@
     CHECK(start_read(sync, store_dataset::listing, 5404).kind == read_kind::full);
 }
 
+// Guards against open flows that are forwarded on a removed route for ever: only the newest state of the
+// store shows that their route is missing, and a director that relies on readers has no reason of its own to
+// read it.
+TEST_CASE("StoreSyncTest.ARequestedVerificationAsksTheStoreForChangesAlthoughReadersCoverIt") {
+    store_sync sync;
+    record_reader_role(sync, false, at_ms(0));
+    request_verification(sync, store_dataset::configuration);
+    record_read(sync, start_read(sync, store_dataset::configuration, 0), at_ms(0), at_ms(4));
+    set_coverage_deadline(sync, at_ms(100'000));
+    due_read due{};
+    REQUIRE_FALSE(start_read_if_due(sync, store_dataset::configuration, at_ms(2000), due));
+    request_verification(sync, store_dataset::configuration);
+    REQUIRE(start_read_if_due(sync, store_dataset::configuration, at_ms(2000), due));
+    CHECK(due.kind == read_kind::catch_up);
+    record_read(sync, due, at_ms(2000), at_ms(2204));
+    CHECK(sync_of(sync, store_dataset::configuration).verified_at == at_ms(2000));
+    request_verification(sync, store_dataset::configuration);
+    CHECK_FALSE(start_read_if_due(sync, store_dataset::configuration, at_ms(2900), due));
+    CHECK(start_read_if_due(sync, store_dataset::configuration, at_ms(2000) + min_watch_period, due));
+}
+
 // Guards against an unknown host that is not looked up because readers' reports cover the listing.
 TEST_CASE("StoreSyncTest.RequestedReadDoesNotWaitForReaders") {
     auto sync = covered_sync(100'000);
