Reset a flow for a missing host only on newer evidence than the flow

Cause: an unknown tag was confirmed by any listing read after the first packet with the tag, for 30 s, and a host that had left the listing counted as gone if the listing had been verified in the last 4 s. A host that returns, or starts again under its id, after that listing takes flows through directors that know of it; a director that does not would have reset those when it got their packets.

Change: both compare the listing's time with the flow's first packet here. The entry of a reset flow stays, so that a caller that lost the reset is reset again at once.

--- a/libs/director/include/guavaramp/director/director.hpp
+++ b/libs/director/include/guavaramp/director/director.hpp
@@ -77,7 +77,7 @@
     no_upstream,  ///< no upstream of the route's services takes new flows
     overloaded,   ///< the service is overloaded, and the flow would be answered too late
     untagged,     ///< the flow is not in the flow cache, and the packet has no tag
-    unknown_tag,  ///< the tag names no known upstream, and a listing that is new enough confirms it
+    unknown_tag,  ///< the tag names no known upstream, and a listing newer than the flow confirms it
     unknown_tag_unconfirmed,  ///< the tag names no known upstream; no listing confirms it, or too many are
                               ///< stored
     upstream_gone,            ///< the upstream was removed from the listing and has not returned in time
@@ -196,8 +196,8 @@
     mechanism_set mechanisms;
     flow_cache flows;
     std::unordered_map<std::uint32_t, host_health> health;  ///< by tag
-    /// The time at which each tag of no known upstream was first seen.
-    std::unordered_map<std::uint32_t, mono_time> unknown_tags;
+    /// The flows whose tag names no known upstream, and the time of each one's first packet here.
+    std::unordered_map<flow_tuple, mono_time> flows_with_unknown_tag;
     std::deque<pending_open> pending_opens;  ///< ordered by `due_at`
     hedged_opens hedging;                    ///< extra opening packets; off while its limit is 0
     /// Requests whose host becomes suspect at `due_at` if it has not answered; ordered by `due_at`.
@@ -308,8 +308,8 @@
                                                    mono_time now);
 
 /// Records that the machine was suspended. Hosts no longer count as unreachable because of earlier probes.
-/// Pending and overdue requests, stall checks, refused probes of draining hosts and unknown tags are
-/// discarded, because the time since they were recorded proves nothing. Includes `record_pause`. Not
+/// Pending and overdue requests, stall checks, refused probes of draining hosts and flows with unknown tags
+/// are discarded, because the time since they were recorded proves nothing. Includes `record_pause`. Not
 /// thread-safe.
 void record_suspension(director_state& state, mono_time now);
 
--- a/libs/director/src/forwarding/director.cpp
+++ b/libs/director/src/forwarding/director.cpp
@@ -20,10 +20,10 @@
 constexpr double newest_answer_weight = 0.2;
 /// Idle time after which a flow is removed from the flow cache if the configuration sets no idle timeout.
 constexpr auto default_idle_timeout = std::chrono::milliseconds{15000};
-/// Limit of the unknown tags that are stored. Packets with further ones are dropped as
+/// Limit of the flows with an unknown tag that are stored. Packets of further ones are dropped as
 /// `unknown_tag_unconfirmed` until there is room.
-constexpr std::size_t max_unknown_tags = 4096;
-/// How long an unknown tag is stored after it was first seen.
+constexpr std::size_t max_flows_with_unknown_tag = 4096;
+/// How long a flow with an unknown tag is stored after it was first seen.
 constexpr auto unknown_tag_retention = std::chrono::seconds{30};
 
 /// A flow is reset because its upstream is missing only if the listing was verified within this time. While a
@@ -210,23 +210,26 @@
                : std::max(absent_since, view.store_available_since) + max_relisting_time;
 }
 
-/// Returns whether `upstream` has left for good. A director that has missed later changes of the listing
-/// cannot tell: the upstream may have returned.
-bool is_gone(const fleet_view& view, const known_upstream& upstream, mono_time now) noexcept {
+/// Returns whether `upstream` has left for good, as seen from a flow whose first packet here came at
+/// `flow_first_seen_at`. A director that has missed later changes of the listing cannot tell: the upstream
+/// may have returned, and the flow may have been opened after that.
+bool is_gone(const fleet_view& view, const known_upstream& upstream, mono_time flow_first_seen_at,
+             mono_time now) noexcept {
     return !upstream.listed && now >= absence_confirmed_at(view, upstream.unlisted_at) &&
+           view.listing_verified_at > flow_first_seen_at &&
            now - view.listing_verified_at <= max_listing_age_for_reset;
 }
 
 /// Decides a packet with a tag of no known upstream. The packet is dropped, and not reset, until a listing
-/// that is newer than the first packet with the tag confirms it: the flow's upstream may have been listed
-/// after the last read of the store.
+/// that is newer than the flow's first packet confirms it: the flow's upstream may have been listed after the
+/// last read of the store.
 decision decide_unknown_tag(director_state& state, const fleet_view& view, const flow_packet& packet,
-                            steering_tag tag, mono_time now) {
-    const auto key = static_cast<std::uint32_t>(tag);
-    if (state.unknown_tags.size() >= max_unknown_tags && !state.unknown_tags.contains(key)) {
+                            mono_time now) {
+    auto& flows = state.flows_with_unknown_tag;
+    if (flows.size() >= max_flows_with_unknown_tag && !flows.contains(packet.flow)) {
         return drop(decision_reason::unknown_tag_unconfirmed);
     }
-    const auto first_seen_at = state.unknown_tags.try_emplace(key, now).first->second;
+    const auto first_seen_at = flows.try_emplace(packet.flow, now).first->second;
     const bool is_confirmed =
         view.listing_as_of > first_seen_at && now >= absence_confirmed_at(view, view.store_available_since);
     if (!is_confirmed) {
@@ -323,7 +326,7 @@
     const auto* target = find_by_tag(*view.upstreams, tag);
     if (target == nullptr) {
         remove_flow(state.flows, packet.flow);
-        return decide_unknown_tag(state, view, packet, tag, now);
+        return decide_unknown_tag(state, view, packet, now);
     }
     const auto request_sent_at = entry == nullptr ? mono_time{} : entry->unanswered_since;
     const bool had_stalled = health_of(state, tag).consecutive_stalls > 0;
@@ -331,9 +334,13 @@
     const bool needs_probe =
         entry != nullptr && observe_packet(state, *entry, packet, suspicion_timeout, now);
     const auto& health = health_of(state, tag);
-    if (state.mechanisms.is_enabled(mechanism::absence_reset) && is_gone(view, *target, now) &&
+    const auto first_seen_at = entry == nullptr ? now : entry->first_seen_at;
+    if (state.mechanisms.is_enabled(mechanism::absence_reset) && is_gone(view, *target, first_seen_at, now) &&
         now - health.last_progress_at > unlisted_progress_grace) {
-        remove_flow(state.flows, packet.flow);
+        // The entry stays, so that a caller that does not get the reset is reset again at its next packet.
+        if (entry != nullptr) {
+            close_flow(state.flows, *entry);
+        }
         return reset(packet, decision_reason::upstream_gone, target);
     }
     if (state.mechanisms.is_enabled(mechanism::unreachable_reset) && is_unreachable(health, now)) {
@@ -458,7 +465,7 @@
     state.slow_requests.clear();
     state.stall_checks.clear();
     state.pending_stall_resets.clear();
-    state.unknown_tags.clear();
+    state.flows_with_unknown_tag.clear();
     record_pause(state, now);
 }
 
@@ -474,7 +481,7 @@
     const auto idle_timeout =
         is_configured ? std::chrono::milliseconds{view.routes->idle_timeout_ms} : default_idle_timeout;
     expire_flows(state.flows, now - idle_timeout);
-    std::erase_if(state.unknown_tags,
+    std::erase_if(state.flows_with_unknown_tag,
                   [now](const auto& item) { return now - item.second > unknown_tag_retention; });
     std::erase_if(state.arrivals_by_route, [now](const auto& item) {
         return now >= item.second.window_began_at + 2 * arrival_window;
