Let no reader wait for another, and date a report by its oldest verification

Cause: after a failed read a director waits 3 s, the whole bound, if readers' reports cover it. Each of the two readers counted as covered by the other, so when both lost the watch of the configuration neither read for 3 s. Their reports went on to be relied on, since only the listing dated them, and the other directors added the time of their own reads.

Change: a reader reads again after 0.1 to 0.5 s, whatever others report. A report carries the age of the oldest verification among listing, configuration and evacuations. The configuration is verified each 1.4 s like the listing, just before it, so that one report tells both; the least time that a verification must gain before it is reported keeps the number of reports. The wait of a director that relies on readers ends when a report names a newer revision.

StoreSyncTest.RetriesLaterWhenReadersReportsCoverTheFailure, .RetriesInTimeForTheChangeToBeInForceWhenBehind and .TheWaitAfterAFailedReadEndsWithTheCoverage judged a reader, which is the fault; they now judge a director that is none, with the same times. UpdateRelayTest.RelyingOnAReaderSurvivesOneLostReport counts the age of the configuration too, which is stricter.

--- a/apps/director/control_thread.cpp
+++ b/apps/director/control_thread.cpp
@@ -91,7 +91,7 @@
         store_.start(
             {.announce =
                  [this](const std::optional<listing_delta>& delta) { update_exchange_.broadcast(delta); },
-             .listing_verified = [this] { update_exchange_.report_verification(); },
+             .verified = [this] { update_exchange_.report_verification(); },
              .own_read_answered = [this] { update_exchange_.report_own_read(); },
              .store_restored = [this](std::uint64_t era) { membership_.on_store_restored(era); }});
         membership_.start();
--- a/apps/director/store_synchronizer.cpp
+++ b/apps/director/store_synchronizer.cpp
@@ -116,11 +116,6 @@
     sync_.takes_cached_answers_first = context.settings.mechanisms.is_enabled(mechanism::cached_start);
     view_.suspended_time_at_refresh = suspended_time();
     record_reader_role(sync_, false, now());
-    if (uses_evacuations()) {
-        // A reader's report shows that the listing and the set of evacuations are complete.
-        sync_.configuration_hold_limit = std::min<std::chrono::milliseconds>(
-            watch_hold_limit, listing_verification_period + evacuation_slack());
-    }
 }
 
 void store_synchronizer::start(store_synchronizer_callbacks callbacks) {
@@ -137,9 +132,10 @@
         return std::nullopt;
     }
     const auto time = now();
-    const auto verified_at =
-        uses_evacuations() ? std::min(listing_verified_at(), evacuations_verified_at_ + evacuation_slack())
-                           : listing_verified_at();
+    const auto datasets_verified = datasets_verified_at(sync_);
+    const auto verified_at = uses_evacuations()
+                                 ? std::min(datasets_verified, evacuations_verified_at_ + evacuation_slack())
+                                 : datasets_verified;
     return reader_report{.listing = own_listing(),
                          .configuration_revision = configuration_revision_,
                          .verified_age_ms = age_ms(verified_at, time),
@@ -570,6 +566,9 @@
     on_read_success(
         {.read = {.dataset = store_dataset::configuration, .kind = kind},
          .store_revision = kind == read_kind::full_cached ? item->revision : item->store_revision});
+    if (kind == read_kind::full) {
+        callbacks_.verified();
+    }
 }
 
 void store_synchronizer::on_configuration_watch(const result<http_response>& response) {
@@ -590,6 +589,9 @@
         apply_evacuation_changes(*changes);
     }
     finish_watch(configuration_, *changes);
+    if (!has_changes(*changes)) {
+        callbacks_.verified();
+    }
 }
 
 void store_synchronizer::apply_configuration(const store_item& item) {
@@ -713,7 +715,7 @@
     if (has_changed) {
         callbacks_.announce(delta);
     } else {
-        callbacks_.listing_verified();
+        callbacks_.verified();
     }
 }
 
@@ -822,7 +824,7 @@
 /// evacuations, is complete.
 void store_synchronizer::record_configuration_verification() {
     const auto verified_at = sync_of(sync_, store_dataset::configuration).verified_at;
-    routes_current_until_ = verified_at + watch_hold_limit + read_stall_timeout;
+    routes_current_until_ = verified_at + verification_period + read_stall_timeout;
     if (evacuations_confirmed_) {
         evacuations_verified_at_ = std::max(evacuations_verified_at_, verified_at);
     }
--- a/apps/director/store_synchronizer.hpp
+++ b/apps/director/store_synchronizer.hpp
@@ -24,8 +24,8 @@
     /// Called with a delta after each full read of the listing from the newest state and after each watch
     /// that returned changes, and without one after each new configuration.
     std::function<void(const std::optional<listing_delta>&)> announce;
-    /// Called after each watch that has shown, without a change, that the listing is complete.
-    std::function<void()> listing_verified;
+    /// Called after each read that has verified the listing or the configuration, and that is not announced.
+    std::function<void()> verified;
     /// Called when the store has answered a read of the listing while this director is no reader and no
     /// reader covers it.
     std::function<void()> own_read_answered;
--- a/apps/director/update_exchange.cpp
+++ b/apps/director/update_exchange.cpp
@@ -26,6 +26,11 @@
 
 mono_time now() { return std::chrono::steady_clock::now(); }
 
+/// Returns the verification that `report` tells at `time`.
+mono_time verified_at(const reader_report& report, mono_time time) noexcept {
+    return time - std::chrono::milliseconds{report.verified_age_ms};
+}
+
 }  // namespace
 
 result<peer_socket> update_exchange::open_socket(director_context& context) {
@@ -164,10 +169,10 @@
     introduce_if_due();
     send_change_request_if_due();
     const auto next_role_update_at = refresh_source();
-    if (time >= next_report_at_) {
+    if (time >= reports_.next_report_at) {
         broadcast(std::nullopt);
-        next_report_at_ = time + report_period;
-        repetition_pending_ = false;
+        reports_.next_report_at = time + report_period;
+        reports_.repetition_pending = false;
     }
     schedule_timer(next_role_update_at);
 }
@@ -177,7 +182,7 @@
     const auto next_introduction_at =
         has_introduced_itself_ ? next_introduction_at_ : now() + membership_poll_period;
     timer_.expires_at(
-        std::min({next_report_at_, next_role_update_at, next_introduction_at, change_request_.send_at}));
+        std::min({reports_.next_report_at, next_role_update_at, next_introduction_at, change_request_.send_at}));
     timer_.async_wait([this](const std::error_code& failure) {
         if (!failure) {
             on_timer();
@@ -288,11 +293,10 @@
     if (!source_.is_reader) {
         return;
     }
-    next_report_at_ = now() + report_repeat_wait;
-    repetition_pending_ = true;
-    schedule_timer(next_role_update_at_);
     const auto report = own_report();
-    is_last_report_verified_ = std::chrono::milliseconds{report.verified_age_ms} < verification_validity;
+    const auto time = now();
+    record_sent_report(reports_, verified_at(report, time), time);
+    schedule_timer(next_role_update_at_);
     const auto receivers = peer_update_addresses();
     if (!delta) {
         send_to(receivers, {.report = report, .readers = readers_to_announce()});
@@ -309,9 +313,8 @@
 }
 
 void update_exchange::report_verification() {
-    // A repetition that is pending carries the new verification too. A reader that was not relied on so far,
-    // such as one that has just taken over, reports at once, so that no further director takes over.
-    if (!repetition_pending_ || !is_last_report_verified_) {
+    const auto time = now();
+    if (source_.is_reader && is_verification_report_due(reports_, verified_at(own_report(), time), time)) {
         broadcast(std::nullopt);
     }
 }
--- a/apps/director/update_exchange.hpp
+++ b/apps/director/update_exchange.hpp
@@ -68,7 +68,8 @@
     /// alone if `delta` is empty. Repeats the report after `report_repeat_wait`.
     void broadcast(const std::optional<listing_delta>& delta);
 
-    /// If this director is a reader, reports to the other directors that it has verified its listing.
+    /// If this director is a reader, reports to the other directors that it has verified its listing or its
+    /// configuration, unless a later report does.
     void report_verification();
 
     /// Records that the store has answered a read that this director made because it hears no reader. The
@@ -111,9 +112,7 @@
     update_source source_;
     reader_role role_;
     change_request change_request_;
-    mono_time next_report_at_{};
-    bool repetition_pending_{false};       ///< the next report repeats one, or carries what is newer by then
-    bool is_last_report_verified_{false};  ///< the last report made others rely on this director
+    report_schedule reports_;
     mono_time next_role_update_at_{};
     mono_time next_introduction_at_{};
     bool has_introduced_itself_{false};
--- a/libs/director/include/guavaramp/director/relay_message.hpp
+++ b/libs/director/include/guavaramp/director/relay_message.hpp
@@ -34,11 +34,13 @@
 struct reader_report {
     listing_state listing;
     std::uint64_t configuration_revision{0};  ///< of the configuration in force at the sender
-    std::uint32_t verified_age_ms{0};  ///< time since the store last showed that the listing is complete
+    /// Time since the store last showed that all that others take from a reader is complete: the listing, the
+    /// configuration and the evacuations. It is the age of the oldest of these verifications.
+    std::uint32_t verified_age_ms{0};
     std::uint32_t store_available_age_ms{
         0};                  ///< how long the store has answered the sender without a failure
     bool store_lost{false};  ///< the sender is a reader, and the store does not answer it
-    /// Sent only if its revision is above 0. Then `verified_age_ms` holds for the evacuations too.
+    /// Sent only if its revision is above 0.
     evacuation_report evacuations;
 
     friend bool operator==(const reader_report&, const reader_report&) = default;
--- a/libs/director/include/guavaramp/director/store_sync.hpp
+++ b/libs/director/include/guavaramp/director/store_sync.hpp
@@ -25,15 +25,19 @@
 /// others, so the store usually has what is missing; the wait covers a change that reached the others through
 /// another part of the store.
 inline constexpr auto catch_up_hold_limit = std::chrono::milliseconds{200};
-/// How long the store may hold back its answer to a watch when nothing has changed. Only an answer shows that
-/// a watch still lives: one that was sent while the store gave no response may never get one, although the
-/// store's machine answers keep-alive probes and new calls. With `read_stall_timeout` and the wait before the
-/// next read, such a watch is replaced within the 3 s in which a change must be in force.
-inline constexpr auto watch_hold_limit = std::chrono::milliseconds{2000};
-/// Longest time between two verifications of a reader's listing, each of which is an answer to a watch.
-/// Others rely on the reader for `verification_validity` after one; the rest of that time is for a slow
-/// answer and for a report that is lost and repeated.
-inline constexpr auto listing_verification_period = std::chrono::milliseconds{1400};
+/// Longest time between two verifications of a reader's listing or configuration, each of which is an answer
+/// to a watch, and so how long the store may hold back an answer when nothing has changed. Others rely on the
+/// reader for `verification_validity` after one; the rest of that time is for a slow answer and for a report
+/// that is lost and repeated.
+///
+/// Only an answer shows that a watch still lives: one that was sent while the store gave no response may
+/// never get one, although the store's machine answers keep-alive probes and new calls. A reader replaces
+/// such a watch after `read_stall_timeout` and the wait before the next read. The directors that rely on it
+/// then need the time for their own reads, and all must fit into `change_bound`.
+inline constexpr auto verification_period = std::chrono::milliseconds{1400};
+/// How long before the answer to the watch of the listing that to the watch of the configuration is due. The
+/// report that follows the former tells both verifications, so the latter must have arrived.
+inline constexpr auto configuration_verification_lead = std::chrono::milliseconds{100};
 /// Least time between the starts of two watches of a dataset. It bounds the calls and the bytes that a series
 /// of changes causes, and is a third of the 3 s in which a change must be in force.
 inline constexpr auto min_watch_period = std::chrono::milliseconds{1000};
@@ -72,8 +76,8 @@
 /// Catch-up reads in a row that may leave the listing different from a reader's; after them the full listing
 /// is read.
 inline constexpr std::uint32_t max_catch_up_reads = 2;
-/// Wait after a failed read while readers' reports cover this director: the store serves others, and this
-/// director need not add to its load.
+/// Wait after a failed read of a director that is no reader, while readers' reports cover it: the store serves
+/// others, and this director need not add to its load. It ends early when a report names a newer revision.
 inline constexpr auto covered_read_retry_wait = std::chrono::milliseconds{3000};
 /// Wait after a failed read while readers' reports cover this director but name a newer revision: a third of
 /// the 3 s in which a change must be in force.
@@ -130,8 +134,6 @@
     /// readers may use cached answers, which cost a tenth and do not count towards the store's limit, for
     /// their first reads: the readers' reports show whether something is missing.
     bool is_reader{true};
-    /// `watch_hold_limit`, or less if the answers to watches of the configuration are needed more often.
-    std::chrono::milliseconds configuration_hold_limit{watch_hold_limit};
 };
 
 /// A read to start now.
@@ -162,14 +164,20 @@
 /// store holds back such an answer until `hold_until`, so the dataset was complete then. Not thread-safe.
 void record_unchanged(store_sync& sync, const due_read& read, mono_time now) noexcept;
 
+/// Returns when the store last showed by its newest state that all datasets that exist are complete; the epoch
+/// if it never did. A reader's report carries the age of this time, since others rely on the reader for all of
+/// them. Not thread-safe.
+[[nodiscard]] mono_time datasets_verified_at(const store_sync& sync) noexcept;
+
 /// Records that what the store has shown so far is stale, because the machine was suspended. Not thread-safe.
 void discard_verification(store_sync& sync) noexcept;
 
 /// Records that a cached read has not shown the revision that readers have reported. Not thread-safe.
 void record_stale_read(store_sync& sync, store_dataset dataset, mono_time now) noexcept;
 
-/// Records that a read has failed; `covered` tells whether readers' reports cover this director. Returns
-/// whether this is the first failure after a success or the start. Not thread-safe.
+/// Records that a read has failed; `covered` tells whether readers' reports cover this director. Reports do
+/// not make a reader wait: they show it that it is behind, and two readers would each wait for the other.
+/// Returns whether this is the first failure after a success or the start. Not thread-safe.
 [[nodiscard]] bool record_read_failure(store_sync& sync, store_dataset dataset, bool covered,
                                        mono_time now) noexcept;
 
@@ -187,7 +195,8 @@
 /// Records that readers have confirmed that this director's copy of `dataset` is complete. Not thread-safe.
 void record_confirmation(store_sync& sync, store_dataset dataset) noexcept;
 
-/// Sets whether readers have a newer revision of `dataset` than this director. Not thread-safe.
+/// Sets whether readers have a newer revision of `dataset` than this director. A wait after a failed read that
+/// relied on the coverage ends if they have. Not thread-safe.
 void set_behind(store_sync& sync, store_dataset dataset, bool behind, mono_time now) noexcept;
 
 /// Records that a read has shown that `dataset` does not exist yet. Cached reads are enough to see it appear,
--- a/libs/director/include/guavaramp/director/update_relay.hpp
+++ b/libs/director/include/guavaramp/director/update_relay.hpp
@@ -26,15 +26,15 @@
 /// it was lost.
 inline constexpr auto report_repeat_wait = std::chrono::milliseconds{350};
 /// Longest time between two reports of a reader. While the store answers, the report of the next verification
-/// comes sooner, so that a reader reports twice in `listing_verification_period`. With 133 directors in a
+/// comes sooner, so that a reader reports twice in `verification_period`. With 133 directors in a
 /// failure domain, the design size, 100 bytes each take 19 KB/s at a reader, the budget for control traffic.
 inline constexpr auto report_period = std::chrono::milliseconds{1100};
 /// How long a reader that is silent is relied on: one of its reports may be lost.
 inline constexpr auto report_validity = std::chrono::milliseconds{1500};
-/// How long others rely on a reader after the reader has verified its listing. The reader may lack a change
-/// that the store confirms after that, and the change must be in force at all directors within 3 s. The
-/// remaining 1 s is for the wait for an own read, 0.7 s at most, and for that read. Readers verify their
-/// listing each `listing_verification_period`, and one report may be lost.
+/// How long others rely on a reader after the store has shown it that its listing and its configuration are
+/// complete. The reader may lack a change that the store confirms after that, and the change must be in force
+/// at all directors within 3 s. The remaining 1 s is for the wait for an own read, 0.7 s at most, and for that
+/// read. Readers verify both in each `verification_period`, and one report may be lost.
 inline constexpr auto verification_validity = std::chrono::milliseconds{2000};
 /// Time between two directors' attempts to take over from a reader: the transmission of a report inside a
 /// failure domain and the receiver's wake-up, on a slow machine.
@@ -87,7 +87,7 @@
 struct known_reader {
     reader_report report;
     mono_time heard_at{};
-    mono_time verified_at{};  ///< time at which the reader last found its listing complete
+    mono_time verified_at{};  ///< time at which all that the reader reports was last known to be complete
     /// Deadline until which the reader is relied on: `report_validity` after its report or
     /// `verification_validity` after its verification, whichever ends first. The two do not add up.
     mono_time relied_on_until{};
@@ -102,6 +102,23 @@
 /// thread-safe.
 void record_report(update_relay& relay, const endpoint& sender, const reader_report& report, mono_time now);
 
+/// When a reader reports.
+struct report_schedule {
+    mono_time next_report_at{};
+    bool repetition_pending{false};  ///< the next report repeats one, or carries what is newer by then
+    /// The verification that the last report told; the epoch if it told none.
+    mono_time reported_verification_at{};
+};
+
+/// Records a report with a change or a verification; it is repeated after `report_repeat_wait`. `verified_at`
+/// is the verification that it tells. Not thread-safe.
+void record_sent_report(report_schedule& schedule, mono_time verified_at, mono_time now) noexcept;
+
+/// Returns whether the verification `verified_at` is reported now. If not, a later report tells it soon
+/// enough: the pending repetition, or that of the other dataset's verification. Not thread-safe.
+[[nodiscard]] bool is_verification_report_due(const report_schedule& schedule, mono_time verified_at,
+                                              mono_time now) noexcept;
+
 /// Whether a director is a reader, and when it may become one.
 struct reader_role {
     bool is_reader{false};
--- a/libs/director/src/fleet/store_sync.cpp
+++ b/libs/director/src/fleet/store_sync.cpp
@@ -86,6 +86,16 @@
     return cached_allowed ? read_kind::full_cached : read_kind::full;
 }
 
+/// Returns the last time up to `latest` that is `configuration_verification_lead` before a verification of the
+/// listing, if the listing is verified once in each `verification_period`.
+mono_time before_listing_verification(const store_sync& sync, mono_time latest) noexcept {
+    const auto listing_verified_at = sync_of(sync, store_dataset::listing).verified_at;
+    const auto phase = listing_verified_at - configuration_verification_lead;
+    return listing_verified_at == mono_time{} || latest < phase
+               ? latest
+               : latest - (latest - phase) % mono_time::duration{verification_period};
+}
+
 /// Returns until when the store may hold back its answer. The answer to a watch is due when the last
 /// verification has become as old as it may be, because that answer is the next one.
 mono_time hold_until(const store_sync& sync, store_dataset dataset, read_kind kind, mono_time now) noexcept {
@@ -95,9 +105,12 @@
     if (kind != read_kind::watch) {
         return {};
     }
-    const auto limit =
-        dataset == store_dataset::listing ? listing_verification_period : sync.configuration_hold_limit;
-    return std::clamp(sync_of(sync, dataset).verified_at + limit, now, now + limit);
+    auto latest =
+        std::clamp(sync_of(sync, dataset).verified_at + verification_period, now, now + verification_period);
+    if (dataset == store_dataset::configuration) {
+        latest = before_listing_verification(sync, latest);
+    }
+    return std::max(latest, now);
 }
 
 }  // namespace
@@ -160,6 +173,13 @@
     }
 }
 
+mono_time datasets_verified_at(const store_sync& sync) noexcept {
+    const auto listing_verified_at = sync_of(sync, store_dataset::listing).verified_at;
+    const auto& configuration = sync_of(sync, store_dataset::configuration);
+    return configuration.absent ? listing_verified_at
+                                : std::min(listing_verified_at, configuration.verified_at);
+}
+
 void discard_verification(store_sync& sync) noexcept {
     for (auto& state : sync.datasets) {
         state.verified_at = mono_time{};
@@ -201,6 +221,9 @@
         state.catch_up_reads = 0;
     } else if (!is_behind(state)) {
         state.behind_since = now;
+        if (state.consecutive_failures > 0) {
+            state.next_read_at = std::min(state.next_read_at, now + min_read_retry_wait);
+        }
     }
 }
 
@@ -212,7 +235,7 @@
     const auto covered_wait = is_behind(state) ? behind_read_retry_wait : covered_read_retry_wait;
     const auto uncovered_wait =
         is_own_read ? own_read_retry_wait : retry_wait_after(state.consecutive_failures);
-    state.next_read_at = now + (covered ? covered_wait : uncovered_wait);
+    state.next_read_at = now + (covered && !sync.is_reader ? covered_wait : uncovered_wait);
     state.needs_full_read = true;
     const bool is_first_failure =
         sync.store_available_since != mono_time::max() || state.consecutive_failures == 1;
--- a/libs/director/src/fleet/update_relay.cpp
+++ b/libs/director/src/fleet/update_relay.cpp
@@ -106,6 +106,23 @@
                   [now](const auto& item) { return now - item.second.heard_at > silent_reader_retention; });
 }
 
+void record_sent_report(report_schedule& schedule, mono_time verified_at, mono_time now) noexcept {
+    schedule = {.next_report_at = now + report_repeat_wait,
+                .repetition_pending = true,
+                .reported_verification_at = verified_at};
+}
+
+bool is_verification_report_due(const report_schedule& schedule, mono_time verified_at,
+                                mono_time now) noexcept {
+    if (verified_at < schedule.reported_verification_at + report_repeat_wait) {
+        return false;
+    }
+    // A reader that is not relied on, such as one that has just taken over, reports at once, so that no further
+    // director takes over.
+    const bool is_relied_on = now < schedule.reported_verification_at + verification_validity;
+    return !schedule.repetition_pending || !is_relied_on;
+}
+
 std::chrono::milliseconds claim_delay(const endpoint& self) noexcept {
     const double spread =
         static_cast<double>(rank_of(self)) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
--- a/libs/director/tests/store_sync_test.cpp
+++ b/libs/director/tests/store_sync_test.cpp
@@ -168,7 +168,7 @@
                     (brings_change ? std::max(started, at_ms(next_change_ms)) : watch.hold_until) +
                     milliseconds{answer_time_ms};
                 RC_ASSERT(answered - listing_verified_at(sync) <=
-                          listing_verification_period + milliseconds{answer_time_ms});
+                          verification_period + milliseconds{answer_time_ms});
                 record_read(sync, watch, started, answered);
                 if (!brings_change) {
                     record_unchanged(sync, watch, answered);
@@ -284,17 +284,66 @@
 // Guards against load on a store that rejects this director's calls and serves other directors.
 TEST_CASE("StoreSyncTest.RetriesLaterWhenReadersReportsCoverTheFailure") {
     store_sync sync;
+    record_reader_role(sync, false, at_ms(0));
     record_read(sync, start_read(sync, store_dataset::listing, 0), at_ms(0), at_ms(4));
     (void)start_read(sync, store_dataset::listing, 4);
     (void)record_read_failure(sync, store_dataset::listing, true, at_ms(500));
     CHECK(sync_of(sync, store_dataset::listing).next_read_at == at_ms(500) + covered_read_retry_wait);
 }
 
+// Guards against two readers of which each waits for the other one after their watches were cut, so that a
+// change is in force only after the whole wait (review case 11).
+TEST_CASE("StoreSyncTest.AReaderDoesNotWaitForAnotherReaderAfterAFailedRead") {
+    for (const auto dataset : {store_dataset::configuration, store_dataset::listing}) {
+        store_sync sync;
+        record_read(sync, start_read(sync, dataset, 0), at_ms(0), at_ms(4));
+        (void)start_read(sync, dataset, 4);
+        (void)record_read_failure(sync, dataset, true, at_ms(500));
+        CHECK(sync_of(sync, dataset).next_read_at == at_ms(500) + min_read_retry_wait);
+    }
+}
+
+// Guards against the wait after a failed read, which is as long as the whole time for a change, when a report
+// names a newer revision meanwhile.
+TEST_CASE("StoreSyncTest.TheWaitAfterAFailedReadEndsWhenReadersHaveANewerRevision") {
+    auto sync = covered_sync(100'000);
+    record_reader_role(sync, false, at_ms(4));
+    request_verification(sync, store_dataset::configuration);
+    (void)start_read(sync, store_dataset::configuration, 5000);
+    (void)record_read_failure(sync, store_dataset::configuration, true, at_ms(5004));
+    set_behind(sync, store_dataset::configuration, true, at_ms(5100));
+    CHECK(sync_of(sync, store_dataset::configuration).next_read_at == at_ms(5100) + min_read_retry_wait);
+}
+
+// Guards against directors that rely on a reader for a configuration that it has not verified for long, because
+// its listing is verified (review case 11).
+TEST_CASE("StoreSyncTest.TheVerificationOfAllDatasetsIsThatOfTheOldest") {
+    store_sync sync;
+    record_read(sync, start_read(sync, store_dataset::listing, 100), at_ms(100), at_ms(104));
+    CHECK(datasets_verified_at(sync) == mono_time{});
+    record_read(sync, start_read(sync, store_dataset::configuration, 200), at_ms(200), at_ms(204));
+    CHECK(datasets_verified_at(sync) == at_ms(100));
+    record_read(sync, start_read(sync, store_dataset::listing, 300), at_ms(300), at_ms(304));
+    CHECK(datasets_verified_at(sync) == at_ms(200));
+    discard_verification(sync);
+    CHECK(datasets_verified_at(sync) == mono_time{});
+}
+
+// Guards against directors that rely on no reader before a first configuration exists.
+TEST_CASE("StoreSyncTest.AnAbsentConfigurationDoesNotHideTheVerificationOfTheListing") {
+    store_sync sync;
+    record_read(sync, start_read(sync, store_dataset::listing, 100), at_ms(100), at_ms(104));
+    (void)start_read(sync, store_dataset::configuration, 100);
+    record_absence(sync, store_dataset::configuration, at_ms(104));
+    CHECK(datasets_verified_at(sync) == at_ms(100));
+}
+
 // Replays azulejo-austro-large fresh-f44e: all directors that were no readers read a configuration of 1,355
 // routes at once, timed out after 0.7 s, waited 3 s, and did both again. Guards against a change that is in
 // force only after 6 s (rule CONFIG).
 TEST_CASE("StoreSyncTest.RetriesInTimeForTheChangeToBeInForceWhenBehind") {
     auto sync = covered_sync(100'000);
+    record_reader_role(sync, false, at_ms(4));
     set_behind(sync, store_dataset::configuration, true, at_ms(5000));
     (void)start_read(sync, store_dataset::configuration, 5000);
     (void)record_read_failure(sync, store_dataset::configuration, true, at_ms(5700));
@@ -379,6 +428,7 @@
 // lost: its next read came up to 3 s later.
 TEST_CASE("StoreSyncTest.TheWaitAfterAFailedReadEndsWithTheCoverage") {
     auto sync = covered_sync(100'000);
+    record_reader_role(sync, false, at_ms(4));
     request_full_read(sync, store_dataset::listing, at_ms(1000));
     (void)start_read(sync, store_dataset::listing, 1000);
     (void)record_read_failure(sync, store_dataset::listing, true, at_ms(1004));
--- a/libs/director/tests/update_relay_test.cpp
+++ b/libs/director/tests/update_relay_test.cpp
@@ -561,7 +561,7 @@
 // Guards against directors that give up a reader, and read the store themselves, for one lost report.
 TEST_CASE("UpdateRelayTest.RelyingOnAReaderSurvivesOneLostReport") {
     // A reader reports each verification at once and repeats the report.
-    const auto period = listing_verification_period;
+    const auto period = verification_period;
     for (std::int64_t lost = 0; lost < 4; ++lost) {
         CAPTURE(lost);
         update_relay relay;
@@ -574,7 +574,9 @@
             }
             CHECK(sent_at < relied_on_until);
             auto report = reliable_report();
-            report.verified_age_ms = static_cast<std::uint32_t>((sent_at - verified_at) / milliseconds{1});
+            // The configuration was verified a little before the listing.
+            const auto age = sent_at - verified_at + configuration_verification_lead;
+            report.verified_age_ms = static_cast<std::uint32_t>(age / milliseconds{1});
             record_report(relay, director(1), report, sent_at);
             relied_on_until = relay.readers.at(director(1)).relied_on_until;
         }
