Read the configuration in full when a watch lacks a reported revision

Change: a reader whose open watch has not brought a revision that another reader has reported for 0.3 s gives the watch up and reads in full. The event `watch_missed_change` names both revisions.

Red before: StoreSyncTest.AWatchIsOvertakenWhenAnotherReaderHasReportedANewerRevisionForSomeTime tests a function that is new here, so it does not build without the change.

--- a/apps/director/store_synchronizer.cpp
+++ b/apps/director/store_synchronizer.cpp
@@ -201,6 +201,14 @@
                coverage.configuration_revision > configuration_revision_ ||
                    lacks_reported_evacuations(evacuations_, lacking_report_),
                now());
+    if (is_overtaken_watch(sync_, store_dataset::configuration, configuration_.read_started_at, now())) {
+        missed_changes_.add();
+        log_event(log_level::info, "watch_missed_change",
+                  {{"reading", to_text(store_dataset::configuration)},
+                   {"revision", std::to_string(configuration_revision_)},
+                   {"reported", std::to_string(coverage.configuration_revision)}});
+        start_full_read(store_dataset::configuration);
+    }
     if (relies_on_readers()) {
         routes_current_until_ = mono_time{};
         cancel_redundant_watch(store_dataset::configuration);
--- a/libs/director/include/guavaramp/director/store_sync.hpp
+++ b/libs/director/include/guavaramp/director/store_sync.hpp
@@ -212,6 +212,12 @@
 /// readers make checks. Not thread-safe.
 [[nodiscard]] bool is_redundant_watch(const store_sync& sync, store_dataset dataset) noexcept;
 
+/// Returns whether the watch of `dataset` in progress, which started at `started`, has not brought a revision
+/// that another reader has reported for `lost_update_wait`. The store has lost such a watch, or has answered
+/// an earlier one without the change, and the dataset must be read in full. Not thread-safe.
+[[nodiscard]] bool is_overtaken_watch(const store_sync& sync, store_dataset dataset, mono_time started,
+                                      mono_time now) noexcept;
+
 /// Records that the read of `dataset` in progress was cancelled. Not thread-safe.
 void record_cancelled_read(store_sync& sync, store_dataset dataset, mono_time now) noexcept;
 
--- a/libs/director/src/fleet/store_sync.cpp
+++ b/libs/director/src/fleet/store_sync.cpp
@@ -86,8 +86,8 @@
     return cached_allowed ? read_kind::full_cached : read_kind::full;
 }
 
-/// Returns the last time up to `latest` that is `configuration_verification_lead` before a verification of the
-/// listing, if the listing is verified once in each `verification_period`.
+/// Returns the last time up to `latest` that is `configuration_verification_lead` before a verification of
+/// the listing, if the listing is verified once in each `verification_period`.
 mono_time before_listing_verification(const store_sync& sync, mono_time latest) noexcept {
     const auto listing_verified_at = sync_of(sync, store_dataset::listing).verified_at;
     const auto phase = listing_verified_at - configuration_verification_lead;
@@ -256,6 +256,13 @@
     return state.read_in_progress && state.watch_in_progress && is_covered(sync, state);
 }
 
+bool is_overtaken_watch(const store_sync& sync, store_dataset dataset, mono_time started,
+                        mono_time now) noexcept {
+    const auto& state = sync_of(sync, dataset);
+    return sync.is_reader && state.read_in_progress && state.watch_in_progress && is_behind(state) &&
+           now >= std::max(started, state.behind_since) + lost_update_wait;
+}
+
 void record_cancelled_read(store_sync& sync, store_dataset dataset, mono_time now) noexcept {
     auto& state = sync_of(sync, dataset);
     state.read_in_progress = false;
--- a/libs/director/tests/store_sync_test.cpp
+++ b/libs/director/tests/store_sync_test.cpp
@@ -303,6 +303,27 @@
     }
 }
 
+// Guards against a reader whose watch was lost, or answered without its change, and that keeps an old
+// configuration although the other reader reports a newer one (soak seed 7110 of the third review: 5.8 s).
+TEST_CASE("StoreSyncTest.AWatchIsOvertakenWhenAnotherReaderHasReportedANewerRevisionForSomeTime") {
+    store_sync sync;
+    record_read(sync, start_read(sync, store_dataset::configuration, 0), at_ms(0), at_ms(4));
+    REQUIRE(start_read(sync, store_dataset::configuration, 4).kind == read_kind::watch);
+    const auto is_overtaken = [&sync](std::int64_t started_ms, std::int64_t now_ms) {
+        return is_overtaken_watch(sync, store_dataset::configuration, at_ms(started_ms), at_ms(now_ms));
+    };
+    CHECK_FALSE(is_overtaken(4, 1000));
+    set_behind(sync, store_dataset::configuration, true, at_ms(1000));
+    CHECK_FALSE(is_overtaken(4, 1299));
+    CHECK(is_overtaken(4, 1300));
+    CHECK_FALSE(is_overtaken(1100, 1300));  // the store may still be about to answer
+    record_reader_role(sync, false, at_ms(1300));
+    CHECK_FALSE(is_overtaken(4, 1300));
+    record_reader_role(sync, true, at_ms(1300));
+    set_behind(sync, store_dataset::configuration, false, at_ms(1300));
+    CHECK_FALSE(is_overtaken(4, 2000));
+}
+
 // Guards against the wait after a failed read, which is as long as the whole time for a change, when a report
 // names a newer revision meanwhile.
 TEST_CASE("StoreSyncTest.TheWaitAfterAFailedReadEndsWhenReadersHaveANewerRevision") {
@@ -315,8 +336,8 @@
     CHECK(sync_of(sync, store_dataset::configuration).next_read_at == at_ms(5100) + min_read_retry_wait);
 }
 
-// Guards against directors that rely on a reader for a configuration that it has not verified for long, because
-// its listing is verified (review case 11).
+// Guards against directors that rely on a reader for a configuration that it has not verified for long,
+// because its listing is verified (review case 11).
 TEST_CASE("StoreSyncTest.TheVerificationOfAllDatasetsIsThatOfTheOldest") {
     store_sync sync;
     record_read(sync, start_read(sync, store_dataset::listing, 100), at_ms(100), at_ms(104));
