--- a/apps/director/update_exchange.cpp
+++ b/apps/director/update_exchange.cpp
@@ -181,8 +181,8 @@
     next_role_update_at_ = next_role_update_at;
     const auto next_introduction_at =
         has_introduced_itself_ ? next_introduction_at_ : now() + membership_poll_period;
-    timer_.expires_at(
-        std::min({reports_.next_report_at, next_role_update_at, next_introduction_at, change_request_.send_at}));
+    timer_.expires_at(std::min(
+        {reports_.next_report_at, next_role_update_at, next_introduction_at, change_request_.send_at}));
     timer_.async_wait([this](const std::error_code& failure) {
         if (!failure) {
             on_timer();
--- a/libs/director/include/guavaramp/director/store_sync.hpp
+++ b/libs/director/include/guavaramp/director/store_sync.hpp
@@ -76,8 +76,9 @@
 /// Catch-up reads in a row that may leave the listing different from a reader's; after them the full listing
 /// is read.
 inline constexpr std::uint32_t max_catch_up_reads = 2;
-/// Wait after a failed read of a director that is no reader, while readers' reports cover it: the store serves
-/// others, and this director need not add to its load. It ends early when a report names a newer revision.
+/// Wait after a failed read of a director that is no reader, while readers' reports cover it: the store
+/// serves others, and this director need not add to its load. It ends early when a report names a newer
+/// revision.
 inline constexpr auto covered_read_retry_wait = std::chrono::milliseconds{3000};
 /// Wait after a failed read while readers' reports cover this director but name a newer revision: a third of
 /// the 3 s in which a change must be in force.
@@ -164,9 +165,9 @@
 /// store holds back such an answer until `hold_until`, so the dataset was complete then. Not thread-safe.
 void record_unchanged(store_sync& sync, const due_read& read, mono_time now) noexcept;
 
-/// Returns when the store last showed by its newest state that all datasets that exist are complete; the epoch
-/// if it never did. A reader's report carries the age of this time, since others rely on the reader for all of
-/// them. Not thread-safe.
+/// Returns when the store last showed by its newest state that all datasets that exist are complete; the
+/// epoch if it never did. A reader's report carries the age of this time, since others rely on the reader for
+/// all of them. Not thread-safe.
 [[nodiscard]] mono_time datasets_verified_at(const store_sync& sync) noexcept;
 
 /// Records that what the store has shown so far is stale, because the machine was suspended. Not thread-safe.
@@ -195,8 +196,8 @@
 /// Records that readers have confirmed that this director's copy of `dataset` is complete. Not thread-safe.
 void record_confirmation(store_sync& sync, store_dataset dataset) noexcept;
 
-/// Sets whether readers have a newer revision of `dataset` than this director. A wait after a failed read that
-/// relied on the coverage ends if they have. Not thread-safe.
+/// Sets whether readers have a newer revision of `dataset` than this director. A wait after a failed read
+/// that relied on the coverage ends if they have. Not thread-safe.
 void set_behind(store_sync& sync, store_dataset dataset, bool behind, mono_time now) noexcept;
 
 /// Records that a read has shown that `dataset` does not exist yet. Cached reads are enough to see it appear,
--- a/libs/director/include/guavaramp/director/update_relay.hpp
+++ b/libs/director/include/guavaramp/director/update_relay.hpp
@@ -33,8 +33,8 @@
 inline constexpr auto report_validity = std::chrono::milliseconds{1500};
 /// How long others rely on a reader after the store has shown it that its listing and its configuration are
 /// complete. The reader may lack a change that the store confirms after that, and the change must be in force
-/// at all directors within 3 s. The remaining 1 s is for the wait for an own read, 0.7 s at most, and for that
-/// read. Readers verify both in each `verification_period`, and one report may be lost.
+/// at all directors within 3 s. The remaining 1 s is for the wait for an own read, 0.7 s at most, and for
+/// that read. Readers verify both in each `verification_period`, and one report may be lost.
 inline constexpr auto verification_validity = std::chrono::milliseconds{2000};
 /// Time between two directors' attempts to take over from a reader: the transmission of a report inside a
 /// failure domain and the receiver's wake-up, on a slow machine.
--- a/libs/director/src/fleet/update_relay.cpp
+++ b/libs/director/src/fleet/update_relay.cpp
@@ -117,8 +117,8 @@
     if (verified_at < schedule.reported_verification_at + report_repeat_wait) {
         return false;
     }
-    // A reader that is not relied on, such as one that has just taken over, reports at once, so that no further
-    // director takes over.
+    // A reader that is not relied on, such as one that has just taken over, reports at once, so that no
+    // further director takes over.
     const bool is_relied_on = now < schedule.reported_verification_at + verification_validity;
     return !schedule.repetition_pending || !is_relied_on;
 }
--- a/libs/director/src/forwarding/director.cpp
+++ b/libs/director/src/forwarding/director.cpp
@@ -201,6 +201,13 @@
     return decided;
 }
 
+/// Ends a flow that is reset, and keeps its entry with the time of the first packet: a caller that does not
+/// get the reset is reset again at its next packet.
+void end_flow(flow_cache& flows, flow_entry& entry) {
+    set_unanswered_since(flows, entry, mono_time{});
+    close_flow(flows, entry);
+}
+
 /// Returns the time from which an absence from the listing since `absent_since` is final, or
 /// `mono_time::max()` while the store does not answer. After the store has returned, hosts take up to
 /// `max_relisting_time` to be listed again.
@@ -337,9 +344,8 @@
     const auto first_seen_at = entry == nullptr ? now : entry->first_seen_at;
     if (state.mechanisms.is_enabled(mechanism::absence_reset) && is_gone(view, *target, first_seen_at, now) &&
         now - health.last_progress_at > unlisted_progress_grace) {
-        // The entry stays, so that a caller that does not get the reset is reset again at its next packet.
         if (entry != nullptr) {
-            close_flow(state.flows, *entry);
+            end_flow(state.flows, *entry);
         }
         return reset(packet, decision_reason::upstream_gone, target);
     }
@@ -369,8 +375,7 @@
                                           const flow_packet& packet, mono_time now) {
     auto* entry = find_flow(state.flows, packet.flow);
     if (entry != nullptr && view.routes_as_of > entry->first_seen_at) {
-        // The entry stays, so that a caller that does not get the reset is reset again at its next packet.
-        close_flow(state.flows, *entry);
+        end_flow(state.flows, *entry);
         return reset(packet, decision_reason::no_route);
     }
     auto decided = decide_established_packet(state, view, nullptr, packet, now);
