Count the time that watches are open and the delay of the control thread

Neither the log nor the metrics of a director showed whether its watches were open, nor whether its handlers ran late: `store_reads_total{watch}` counts a call that ends at once like one that is held for 1.4 s.

Change: `store_watch_open_milliseconds_total{configuration,listing}` adds up the time from the start of a watch to its answer, and `control_wake_up_delay_seconds` is a histogram of how late the control thread runs its tick.

--- a/apps/director/control_thread.cpp
+++ b/apps/director/control_thread.cpp
@@ -97,6 +97,7 @@
         membership_.start();
         update_exchange_.start();
         neighbour_finder_.start();
+        tick_timer_.expires_at(now());
         tick();
         run_handlers();
         write_log_records();
@@ -160,7 +161,9 @@
             io_.stop();
             return;
         }
-        tick_timer_.expires_after(tick_period);
+        const auto time = now();
+        wake_up_delays_.add(time - tick_timer_.expiry());
+        tick_timer_.expires_at(time + tick_period);
         tick_timer_.async_wait([this](const std::error_code& failure) {
             if (!failure) {
                 tick();
@@ -259,6 +262,8 @@
     token_bucket log_line_tokens_{make_token_bucket(decision_lines_per_second, decision_lines_burst, now())};
     counter& suppressed_lines_{
         context_.counters.get("log_lines_suppressed_total", "Decisions above the log's rate limit")};
+    latency_histogram& wake_up_delays_{context_.counters.get_latency_histogram(
+        "control_wake_up_delay_seconds", "How late the control thread runs a timer")};
     counter& unexpected_errors_{
         context_.counters.get("unexpected_errors_total", "Errors that no handler expected", "control")};
     std::thread thread_;
--- a/apps/director/store_synchronizer.cpp
+++ b/apps/director/store_synchronizer.cpp
@@ -80,6 +80,10 @@
       own_reads_(context.counters.get(
           "store_own_reads_total", "Readings of the store by a director that is no reader and hears none")),
       watches_(context.counters.get("store_reads_total", "Readings of the platform's store", "watch")),
+      watch_time_ms_{&context.counters.get("store_watch_open_milliseconds_total",
+                                           "Time for which watches were open", "configuration"),
+                     &context.counters.get("store_watch_open_milliseconds_total",
+                                           "Time for which watches were open", "listing")},
       checks_(context.counters.get("store_reads_total", "Readings of the platform's store", "check")),
       missed_changes_(context.counters.get("watch_missed_changes_total",
                                            "Changes that a check showed before their watch did")),
@@ -821,6 +825,8 @@
 
 /// Finishes the watch on `connection`, whose answer has brought `changes`.
 void store_synchronizer::finish_watch(const dataset_connection& connection, const store_changes& changes) {
+    watch_time_ms_.at(static_cast<std::size_t>(connection.watch.dataset))
+        ->add(age_ms(connection.read_started_at, now()));
     on_read_success({.read = {.dataset = connection.watch.dataset,
                               .kind = read_kind::watch,
                               .hold_until = connection.watch.hold_until},
--- a/apps/director/store_synchronizer.hpp
+++ b/apps/director/store_synchronizer.hpp
@@ -10,6 +10,7 @@
 
 #include <asio.hpp>
 
+#include <array>
 #include <functional>
 #include <optional>
 #include <set>
@@ -198,6 +199,7 @@
     counter& cached_reads_;
     counter& own_reads_;
     counter& watches_;
+    std::array<counter*, store_dataset_count> watch_time_ms_;  ///< by dataset
     counter& checks_;
     counter& missed_changes_;
     counter& lost_histories_;
