Keep a watch of each dataset open however late a reader wakes up

Cause: the answer to a watch of the configuration was due at a time on the grid of the listing's verifications, minus 0.1 s. A watch that started after that time was due at once, and the next one started 1 s after it at the earliest. A handler that runs 0.35 s late or more then misses the next time on the grid as well: a call of 0 ms each 1.4 s and no watch open, for as long as the lateness lasts. One later wake-up begins it. The listing did the same at 1.2 s.

Change: a watch that was held until its end without a change is followed by the next one at once; the least period is for watches that have brought changes. No grid: a watch ends when the last verification is 1.4 s old, or together with that of the other dataset if that ends earlier and is 0.4 s away or more. Of two successive watches one at least is held for 0.4 s; the first call of an overdue verification still ends at once, so that a director that takes over is relied on soon.

Why this works: the time until the next watch starts is the delay of the machine and nothing else, from every state. The number of calls stays: each watch that ends without a change was held until the verification was due.

UpdateRelayTest.RelyingOnAReaderSurvivesOneLostReport keeps its 0.1 s between the verifications, now as a constant of its own.

--- a/libs/director/include/guavaramp/director/store_sync.hpp
+++ b/libs/director/include/guavaramp/director/store_sync.hpp
@@ -35,12 +35,15 @@
 /// such a watch after `read_stall_timeout` and the wait before the next read. The directors that rely on it
 /// then need the time for their own reads, and all must fit into `change_bound`.
 inline constexpr auto verification_period = std::chrono::milliseconds{1400};
-/// How long before the answer to the watch of the listing that to the watch of the configuration is due. The
-/// report that follows the former tells both verifications, so the latter must have arrived.
-inline constexpr auto configuration_verification_lead = std::chrono::milliseconds{100};
-/// Least time between the starts of two watches of a dataset. It bounds the calls and the bytes that a series
-/// of changes causes, and is a third of the 3 s in which a change must be in force.
+/// Least time between the starts of two watches of a dataset, if the first one has brought changes. It bounds
+/// the calls and the bytes that a series of changes causes, and is a third of the 3 s in which a change must
+/// be in force.
 inline constexpr auto min_watch_period = std::chrono::milliseconds{1000};
+/// Least time for which the store may hold back the answer to a watch that follows a shorter one. A reader on
+/// a machine that runs its handlers late could otherwise make only watches that end at once, and would have
+/// none open when a change comes. It is the time that is left of the period after `min_watch_period`, so that
+/// it delays no verification of a punctual reader.
+inline constexpr auto min_watch_hold = verification_period - min_watch_period;
 /// Period of checking the two datasets, in turn, against cached reads, which cost a tenth of a read of the
 /// newest state. A watch can miss a change without an error when the store drops its history. A cached answer
 /// may be seconds old, so a check shows only what is missing, and never that a dataset is complete.
@@ -104,11 +107,13 @@
     mono_time next_read_at{};
     std::uint32_t consecutive_failures{0};
     bool read_in_progress{false};
-    bool watch_in_progress{false};  ///< the read in progress is a watch
-    bool needs_full_read{true};     ///< the next read is a full one and asks not only for changes
-    bool was_read{false};           ///< at least one read has succeeded
-    bool absent{false};             ///< the last full read has shown that the dataset does not exist
-    bool read_requested{false};     ///< the next read starts although readers' reports cover the dataset
+    bool watch_in_progress{false};     ///< the read in progress is a watch
+    mono_time watch_due_at{};          ///< when the answer to the watch in progress is due
+    bool last_watch_was_short{false};  ///< its answer was due in less than `min_watch_hold`
+    bool needs_full_read{true};        ///< the next read is a full one and asks not only for changes
+    bool was_read{false};              ///< at least one read has succeeded
+    bool absent{false};                ///< the last full read has shown that the dataset does not exist
+    bool read_requested{false};        ///< the next read starts although readers' reports cover the dataset
     /// Time since which readers are known to have a newer revision; `mono_time::max()` if none has one.
     mono_time behind_since{mono_time::max()};
     std::uint32_t stale_cached_reads{0};  ///< cached reads in a row that did not show the newer revision
@@ -162,7 +167,9 @@
 void record_read(store_sync& sync, const due_read& read, mono_time started, mono_time now) noexcept;
 
 /// Records that the answer to the watch `read`, which `record_read` has recorded before, has no changes. The
-/// store holds back such an answer until `hold_until`, so the dataset was complete then. Not thread-safe.
+/// store holds back such an answer until `hold_until`, so the dataset was complete then. A reader's next
+/// watch starts at once, so that one is always open; an answer that comes before its time keeps the least
+/// period. Not thread-safe.
 void record_unchanged(store_sync& sync, const due_read& read, mono_time now) noexcept;
 
 /// Returns when the store last showed by its newest state that all datasets that exist are complete; the
--- a/libs/director/src/fleet/store_sync.cpp
+++ b/libs/director/src/fleet/store_sync.cpp
@@ -86,31 +86,36 @@
     return cached_allowed ? read_kind::full_cached : read_kind::full;
 }
 
-/// Returns the last time up to `latest` that is `configuration_verification_lead` before a verification of
-/// the listing, if the listing is verified once in each `verification_period`.
-mono_time before_listing_verification(const store_sync& sync, mono_time latest) noexcept {
-    const auto listing_verified_at = sync_of(sync, store_dataset::listing).verified_at;
-    const auto phase = listing_verified_at - configuration_verification_lead;
-    return listing_verified_at == mono_time{} || latest < phase
-               ? latest
-               : latest - (latest - phase) % mono_time::duration{verification_period};
+store_dataset other_dataset(store_dataset dataset) noexcept {
+    return dataset == store_dataset::listing ? store_dataset::configuration : store_dataset::listing;
 }
 
-/// Returns until when the store may hold back its answer. The answer to a watch is due when the last
-/// verification has become as old as it may be, because that answer is the next one.
+/// Returns until when the store may hold back the answer to a watch. It is due when the last verification has
+/// become as old as it may be, because that answer is the next one. A watch ends together with that of the
+/// other dataset if that one ends earlier but not too soon, since one report tells the verifications of both.
+mono_time watch_due_at(const store_sync& sync, store_dataset dataset, mono_time now) noexcept {
+    const auto& state = sync_of(sync, dataset);
+    const auto earliest = state.last_watch_was_short ? now + min_watch_hold : now;
+    const auto latest =
+        std::clamp(state.verified_at + verification_period, earliest, now + verification_period);
+    const auto& other = sync_of(sync, other_dataset(dataset));
+    const bool can_end_together =
+        other.read_in_progress && other.watch_in_progress && other.watch_due_at >= now + min_watch_hold;
+    return can_end_together ? std::min(other.watch_due_at, latest) : latest;
+}
+
+/// Returns until when the store may hold back its answer; the epoch if not at all.
 mono_time hold_until(const store_sync& sync, store_dataset dataset, read_kind kind, mono_time now) noexcept {
-    if (kind == read_kind::catch_up) {
-        return now + catch_up_hold_limit;
-    }
-    if (kind != read_kind::watch) {
-        return {};
+    switch (kind) {
+        case read_kind::catch_up:
+            return now + catch_up_hold_limit;
+        case read_kind::watch:
+            return watch_due_at(sync, dataset, now);
+        case read_kind::full:
+        case read_kind::full_cached:
+            break;
     }
-    auto latest =
-        std::clamp(sync_of(sync, dataset).verified_at + verification_period, now, now + verification_period);
-    if (dataset == store_dataset::configuration) {
-        latest = before_listing_verification(sync, latest);
-    }
-    return std::max(latest, now);
+    return {};
 }
 
 }  // namespace
@@ -139,6 +144,7 @@
     const auto kind = next_kind(sync, dataset, now);
     due = {.dataset = dataset, .kind = kind, .hold_until = hold_until(sync, dataset, kind, now)};
     state.watch_in_progress = due.kind == read_kind::watch;
+    state.watch_due_at = due.hold_until;
     return true;
 }
 
@@ -150,7 +156,9 @@
     const bool verified = full || state.verified;
     const bool is_catch_up = read.kind == read_kind::catch_up;
     const bool shows_newest_state = read.kind != read_kind::full_cached;
+    const bool is_short_watch = read.kind == read_kind::watch && read.hold_until < started + min_watch_hold;
     state = {.next_read_at = next_read_at,
+             .last_watch_was_short = is_short_watch,
              .needs_full_read = false,
              .was_read = true,
              .catch_up_reads = is_catch_up ? state.catch_up_reads + 1 : 0,
@@ -170,6 +178,9 @@
     // A store that answers before it must may have done so at any time since the start of the watch.
     if (now >= read.hold_until) {
         state.verified_at = std::max(state.verified_at, read.hold_until);
+        if (sync.is_reader) {
+            state.next_read_at = now;
+        }
     }
 }
 
@@ -183,6 +194,7 @@
 void discard_verification(store_sync& sync) noexcept {
     for (auto& state : sync.datasets) {
         state.verified_at = mono_time{};
+        state.last_watch_was_short = false;
     }
 }
 
@@ -202,7 +214,11 @@
 }
 
 void record_reader_role(store_sync& sync, bool is_reader, mono_time now) noexcept {
+    const bool becomes_reader = is_reader && !sync.is_reader;
     sync.is_reader = is_reader;
+    for (auto& state : sync.datasets) {
+        state.last_watch_was_short = state.last_watch_was_short && !becomes_reader;
+    }
     const auto& listing = sync_of(sync, store_dataset::listing);
     if (is_reader && !listing.read_in_progress && awaits_confirmation(listing, store_dataset::listing)) {
         request_full_read(sync, store_dataset::listing, now);
--- a/libs/director/tests/configuration_delay_test.cpp
+++ b/libs/director/tests/configuration_delay_test.cpp
@@ -118,6 +118,7 @@
     }
 
     void broadcast(simulated_director& sender, std::int64_t now_ms) {
+        ++reports;
         const auto verified_at = datasets_verified_at(sender.sync);
         const bool store_answers = sender.sync.store_available_since != mono_time::max();
         auto report = store_answers ? reader_report{.listing = {.revision = 1, .digest = 1},
@@ -202,7 +203,7 @@
     void step(std::int64_t now_ms) {
         for (auto& director : directors) {
             for (auto& call : director.calls) {
-                if (call && call->ends_ms <= now_ms) {
+                if (call && call->ends_ms + wake_up_delay_ms <= now_ms) {
                     const auto finished = *call;
                     call.reset();
                     finish_call(director, finished, now_ms);
@@ -226,7 +227,9 @@
 
     simulated_store store;
     std::vector<simulated_director> directors;
+    std::int64_t wake_up_delay_ms{0};  ///< how late the directors handle an answer
     std::size_t calls{0};
+    std::size_t reports{0};
 };
 
 // Load pattern: both readers of a failure domain lose their watches of the configuration within any phase of
@@ -264,27 +267,35 @@
 }
 
 // Guards against readers whose verifications of the listing and of the configuration come at different times,
-// so that no report tells both in time and others take over, or read the store themselves.
+// so that no report tells both in time and others take over, or read the store themselves. `delay_ms` is the
+// delay of all wake-ups: others rely on a reader for 0.6 s longer than the period of its verifications.
 TEST_CASE("ConfigurationDelayTest.DirectorsRelyOnQuietReadersWithoutABreak") {
     constexpr std::int64_t settled_ms = 10'000;
     constexpr std::int64_t end_ms = 60'000;
-    simulated_domain domain{{.lost_at_ms = end_ms, .changed_at_ms = end_ms}};
-    std::int64_t now_ms = 0;
-    for (; now_ms < settled_ms; now_ms += step_ms) {
-        domain.step(now_ms);
-    }
-    const auto calls_before = domain.calls;
-    for (; now_ms < end_ms; now_ms += step_ms) {
-        domain.step(now_ms);
-        REQUIRE(domain.reader_count() == 2);
-        for (const auto& director : domain.directors) {
-            REQUIRE(reliable_readers(director.relay, at_ms(now_ms)).size() ==
-                    (director.role.is_reader ? 1U : 2U));
+    for (const std::int64_t delay_ms : {0, 50, 100, 200, 300, 400, 500}) {
+        CAPTURE(delay_ms);
+        simulated_domain domain{{.lost_at_ms = end_ms, .changed_at_ms = end_ms}};
+        domain.wake_up_delay_ms = delay_ms;
+        std::int64_t now_ms = 0;
+        for (; now_ms < settled_ms; now_ms += step_ms) {
+            domain.step(now_ms);
+        }
+        const auto calls_before = domain.calls;
+        const auto reports_before = domain.reports;
+        for (; now_ms < end_ms; now_ms += step_ms) {
+            domain.step(now_ms);
+            REQUIRE(domain.reader_count() == 2);
+            for (const auto& director : domain.directors) {
+                REQUIRE(reliable_readers(director.relay, at_ms(now_ms)).size() ==
+                        (director.role.is_reader ? 1U : 2U));
+            }
         }
+        // In each period two readers verify two datasets, and each sends one report and its repetition.
+        const auto periods = (end_ms - settled_ms) / milliseconds{verification_period}.count();
+        const auto limit = static_cast<std::size_t>(4 * (periods + 1));
+        CHECK(domain.calls - calls_before <= limit);
+        CHECK(domain.reports - reports_before <= limit);
     }
-    // Two readers verify two datasets once in each period.
-    const auto periods = (end_ms - settled_ms) / milliseconds{verification_period}.count();
-    CHECK(domain.calls - calls_before <= static_cast<std::size_t>(4 * (periods + 1)));
 }
 
 }  // namespace
--- a/libs/director/tests/update_relay_test.cpp
+++ b/libs/director/tests/update_relay_test.cpp
@@ -562,6 +562,7 @@
 TEST_CASE("UpdateRelayTest.RelyingOnAReaderSurvivesOneLostReport") {
     // A reader reports each verification at once and repeats the report.
     const auto period = verification_period;
+    constexpr auto age_of_older_verification = milliseconds{100};
     for (std::int64_t lost = 0; lost < 4; ++lost) {
         CAPTURE(lost);
         update_relay relay;
@@ -574,8 +575,8 @@
             }
             CHECK(sent_at < relied_on_until);
             auto report = reliable_report();
-            // The configuration was verified a little before the listing.
-            const auto age = sent_at - verified_at + configuration_verification_lead;
+            // One dataset was verified a little before the other.
+            const auto age = sent_at - verified_at + age_of_older_verification;
             report.verified_age_ms = static_cast<std::uint32_t>(age / milliseconds{1});
             record_report(relay, director(1), report, sent_at);
             relied_on_until = relay.readers.at(director(1)).relied_on_until;
