--- a/libs/director/src/fleet/store_sync.cpp
+++ b/libs/director/src/fleet/store_sync.cpp
@@ -93,6 +93,7 @@
 /// Returns until when the store may hold back the answer to a watch. It is due when the last verification has
 /// become as old as it may be, because that answer is the next one. A watch ends together with that of the
 /// other dataset if that one ends earlier but not too soon, since one report tells the verifications of both.
+/// If the last verification is older than that already, the watch ends at once, but not two in a row.
 mono_time watch_due_at(const store_sync& sync, store_dataset dataset, mono_time now) noexcept {
     const auto& state = sync_of(sync, dataset);
     const auto earliest = state.last_watch_was_short ? now + min_watch_hold : now;
@@ -216,6 +217,7 @@
 void record_reader_role(store_sync& sync, bool is_reader, mono_time now) noexcept {
     const bool becomes_reader = is_reader && !sync.is_reader;
     sync.is_reader = is_reader;
+    // The first watch of a new reader may end at once, since others rely on the reader only after it.
     for (auto& state : sync.datasets) {
         state.last_watch_was_short = state.last_watch_was_short && !becomes_reader;
     }
