--- a/libs/director/tests/late_wake_up_test.cpp
+++ b/libs/director/tests/late_wake_up_test.cpp
@@ -228,6 +228,21 @@
     });
 }
 
+// Guards against datasets that are verified at different times for good: each needs reports of its own then,
+// which are twice as many.
+TEST_CASE("LateWakeUpTest.TheWatchesOfBothDatasetsEndTogetherAfterAnyDisturbances") {
+    check_property("time between the two answers", [](const std::vector<std::uint8_t>& disturbances) {
+        late_reader reader{.disturbances = to_disturbances(disturbances)};
+        run(reader);
+        const auto difference = sync_of(reader.sync, store_dataset::listing).watch_due_at -
+                                sync_of(reader.sync, store_dataset::configuration).watch_due_at;
+        // One of the two may already be the watch of the next period.
+        const auto apart =
+            to_milliseconds(difference < difference.zero() ? -difference : difference) % verification_period;
+        RC_ASSERT(std::min(apart, verification_period - apart) <= answer_time);
+    });
+}
+
 // Guards against a director that has just taken over and is not relied on until its first watches end.
 TEST_CASE("LateWakeUpTest.ANewReaderVerifiesAtOnceAndThenWatches") {
     for (const auto dataset : {store_dataset::listing, store_dataset::configuration}) {
@@ -248,5 +263,29 @@
     }
 }
 
+// Guards against a director that was a reader or read for itself, and whose last watch was short: when it
+// takes over, or after a suspension, its first watch must not be held.
+TEST_CASE("LateWakeUpTest.AShortWatchDoesNotDelayTheFirstVerificationOfANewReaderOrAfterASuspension") {
+    for (const bool is_suspended : {false, true}) {
+        CAPTURE(is_suspended);
+        store_sync sync;
+        due_read due{};
+        REQUIRE(start_read_if_due(sync, store_dataset::listing, at_ms(0), due));
+        record_read(sync, due, at_ms(0), at_ms(4));
+        REQUIRE(start_read_if_due(sync, store_dataset::listing, at_ms(1300), due));
+        REQUIRE(due.hold_until - at_ms(1300) < min_watch_hold);
+        record_read(sync, due, at_ms(1300), at_ms(1404));
+        record_unchanged(sync, due, at_ms(1404));
+        if (is_suspended) {
+            discard_verification(sync);
+        } else {
+            record_reader_role(sync, false, at_ms(1404));
+            record_reader_role(sync, true, at_ms(9000));
+        }
+        REQUIRE(start_read_if_due(sync, store_dataset::listing, at_ms(9000), due));
+        CHECK(due.hold_until == at_ms(9000));
+    }
+}
+
 }  // namespace
 }  // namespace guavaramp
